Lay out libraries, checks and the contracts that they share

Nothing existed. The build, the format, lint and test commands and the types that several libraries meet at (ids, time, declarations, assignment, grants, request outcomes) come first, so that libraries can grow side by side.

--- /dev/null
+++ b/src/libs/ownership/holder.cpp
@@ -0,0 +1,71 @@
+#include <ownership/holder.h>
+
+#include <algorithm>
+
+namespace Ownership {
+
+namespace Internal {
+
+HolderAnswer answerFrom(const HolderState& state, HolderVerdict verdict, std::int64_t clock)
+{
+    HolderAnswer answer;
+    answer.verdict = verdict;
+    answer.incarnation = state.incarnation;
+    answer.clock = clock;
+    answer.level = state.fence;
+    answer.heldUntil = state.heldUntil;
+    answer.shards = state.shards;
+    return answer;
+}
+
+HolderVerdict judgeGrant(const HolderState& state, const GrantRequest& request, std::int64_t clock)
+{
+    if (request.incarnation != state.incarnation)
+        return HolderVerdict::WrongIncarnation;
+    if (request.level < state.fence)
+        return HolderVerdict::StaleLevel;
+    if (request.level == state.granted && request.sequence <= state.sequence)
+        return HolderVerdict::StaleSequence;
+    if (request.expiresAt <= clock)
+        return HolderVerdict::AlreadyExpired;
+    return HolderVerdict::Accepted;
+}
+
+} // namespace Internal
+
+HolderAnswer applyGrant(HolderState& state, const GrantRequest& request, std::int64_t clock)
+{
+    const HolderVerdict verdict = Internal::judgeGrant(state, request, clock);
+    if (verdict != HolderVerdict::Accepted)
+        return Internal::answerFrom(state, verdict, clock);
+    state.fence = request.level;
+    state.granted = request.level;
+    state.sequence = request.sequence;
+    state.heldUntil = request.expiresAt;
+    state.shards = request.shards;
+    return Internal::answerFrom(state, verdict, clock);
+}
+
+HolderAnswer applyFence(HolderState& state, const FenceRequest& request, std::int64_t clock)
+{
+    if (request.incarnation != 0 && request.incarnation != state.incarnation)
+        return Internal::answerFrom(state, HolderVerdict::WrongIncarnation, clock);
+    if (request.level < state.fence)
+        return Internal::answerFrom(state, HolderVerdict::StaleLevel, clock);
+    state.fence = request.level;
+    return Internal::answerFrom(state, HolderVerdict::Accepted, clock);
+}
+
+HolderVerdict checkRequest(
+    const HolderState& state, const Utils::ShardId& shard, GrantLevel level, std::int64_t clock)
+{
+    if (level < state.fence)
+        return HolderVerdict::StaleLevel;
+    if (clock >= state.heldUntil)
+        return HolderVerdict::AlreadyExpired;
+    if (!state.shards.contains(shard))
+        return HolderVerdict::NotHeld;
+    return HolderVerdict::Accepted;
+}
+
+} // namespace Ownership
--- /dev/null
+++ b/tests/auto/testmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
