--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -2,4 +2,4 @@
 # Regenerates the committed FlatBuffers code. Needs flatbuffers-compiler; the build does not.
 set -euo pipefail
 cd "$(dirname "$0")/../src/libs/wire"
-flatc --cpp --scoped-enums --filename-suffix _generated peer.fbs control.fbs
+flatc --cpp --scoped-enums --filename-suffix _generated -o generated peer.fbs control.fbs
--- a/src/libs/settings/settingsreader.cpp
+++ b/src/libs/settings/settingsreader.cpp
@@ -48,6 +48,7 @@
     TCLAP::CmdLine command(description, ' ', version);
     command.setExceptionHandling(false);
     std::vector<std::unique_ptr<Internal::TextArgument>> parsers;
+    parsers.reserve(specs.size());
     for (const SettingSpec& spec : specs) {
         parsers.push_back(std::make_unique<Internal::TextArgument>(
             "", spec.name, Internal::helpText(spec), false, "", "value", command));
--- a/src/libs/wire/peercodec.cpp
+++ b/src/libs/wire/peercodec.cpp
@@ -1,9 +1,9 @@
 #include <wire/peercodec.h>
 
-#include <wire/peer_generated.h>
 #include <wire/wireconstants.h>
 
 #include <boost/endian/conversion.hpp>
+#include <peer_generated.h>
 
 #include <cstring>
 #include <optional>
--- a/tests/auto/wire/tst_peercodec.cpp
+++ b/tests/auto/wire/tst_peercodec.cpp
@@ -1,6 +1,5 @@
 #include <wire/peercodec.h>
 
-#include <wire/peer_generated.h>
 #include <wire/wireconstants.h>
 
 #include <catch2/catch.hpp>
