Read and check sets of declarations

Operators publish a whole set of objects that refer to one another. The reader takes all documents of a set, and reports every fault at once with its document, JSON pointer and object.

--- /dev/null
+++ b/src/libs/declarations/configurationreader.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <declarations/document.h>
+#include <declarations/readresult.h>
+
+#include <vector>
+
+namespace Declarations {
+
+/// Reads \a documents as one set and checks it: the fields of each object, the references between objects and
+/// the whole. Reports all faults at once. When a document is no JSON or has no list of objects, the checks
+/// between objects are left out, since they would report what that document may declare.
+ReadResult readConfiguration(const std::vector<Document>& documents);
+
+} // namespace Declarations
