--- /dev/null
+++ b/tests/standins/upstream/lease.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <ownership/fencerequest.h>
+#include <ownership/grantrequest.h>
+#include <ownership/holderanswer.h>
+
+namespace StandInUpstream {
+
+struct UpstreamServer;
+
+/// Applies a grant and journals it when it is accepted.
+Ownership::HolderAnswer takeGrant(UpstreamServer& server, const Ownership::GrantRequest& grant);
+
+/// Applies a fence and journals it when it is accepted.
+Ownership::HolderAnswer takeFence(UpstreamServer& server, const Ownership::FenceRequest& fence);
+
+/// Where the holder stands now.
+Ownership::HolderAnswer currentState(const UpstreamServer& server);
+
+} // namespace StandInUpstream
