--- a/cmake/crocusferryapi.cmake
+++ b/cmake/crocusferryapi.cmake
@@ -17,7 +17,7 @@
 endif()
 
 find_package(Threads REQUIRED)
-find_package(Boost 1.81 REQUIRED COMPONENTS json container)
+find_package(Boost 1.81 REQUIRED COMPONENTS json container url)
 find_package(Catch2 2 REQUIRED)
 find_package(rapidcheck REQUIRED)
 
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(
     g++ cmake ninja-build ccache clang-format clang-tidy python3
-    libboost1.81-dev libboost-json1.81-dev libflatbuffers-dev
+    libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev libflatbuffers-dev
     libtclap-dev libeasyloggingpp-dev libtrompeloeil-cpp-dev catch2
     librapidcheck-dev libxxhash-dev
 )
--- a/src/libs/wire/peercodec.cpp
+++ b/src/libs/wire/peercodec.cpp
@@ -99,6 +99,12 @@
     return { Generated::Body::WorkCancel, Generated::CreateWorkCancel(builder, cancel.request).Union() };
 }
 
+BodyOffset writeBody(FlatBufferBuilder& builder, const LinkProbe& probe)
+{
+    return { Generated::Body::LinkProbe,
+        Generated::CreateLinkProbe(builder, probe.number, probe.answer).Union() };
+}
+
 std::string readString(const flatbuffers::String* text) { return std::string(text->c_str(), text->size()); }
 
 std::string readBytes(const ByteVector* bytes)
@@ -177,6 +183,9 @@
             message.body_as_AnswerCredit()->request(), message.body_as_AnswerCredit()->bytes() });
     case Generated::Body::WorkCancel:
         return PeerMessage(WorkCancel { message.body_as_WorkCancel()->request() });
+    case Generated::Body::LinkProbe:
+        return PeerMessage(
+            LinkProbe { message.body_as_LinkProbe()->number(), message.body_as_LinkProbe()->answer() });
     case Generated::Body::NONE:
         break;
     }
--- a/tests/auto/wire/tst_peercodec.cpp
+++ b/tests/auto/wire/tst_peercodec.cpp
@@ -34,7 +34,7 @@
     return { Wire::Hello { { "west-1-a" }, 99 }, work, Wire::AnswerHead { 7, 200, { { "A", "b" } } },
         Wire::AnswerChunk { 7, std::string(1000, 'x') }, Wire::AnswerEnd { 7, true },
         Wire::WorkRefused { 7, Requests::Reason::QueueFull, std::chrono::milliseconds(40) },
-        Wire::AnswerCredit { 7, 4096 }, Wire::WorkCancel { 7 } };
+        Wire::AnswerCredit { 7, 4096 }, Wire::WorkCancel { 7 }, Wire::LinkProbe { 5, true } };
 }
 
 std::optional<Wire::WireError> errorOf(std::string_view frame)
