Decide grants, settling and takeover in a pure granter

The dispatcher, its successor and the VMs of earlier assignments run the same state: install() takes an assignment from the log, takeOver() is the successor's suspicion, answers and messages of other VMs come in as events, and what is to be sent goes out as actions. Each condition that keeps a shard at one owner has a name in guard.h, so that an explorer can leave it out; nothing is explored yet.

--- /dev/null
+++ b/src/libs/ownership/action.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <ownership/sendfence.h>
+#include <ownership/sendgrant.h>
+#include <ownership/sendpeer.h>
+#include <ownership/shardserved.h>
+#include <ownership/shardunserved.h>
+#include <ownership/steppeddown.h>
+
+#include <variant>
+
+namespace Ownership {
+
+/// What a decision of the granter asks its daemon to do.
+using Action = std::variant<SendGrant, SendFence, SendPeer, ShardServed, ShardUnserved, SteppedDown>;
+
+} // namespace Ownership
--- /dev/null
+++ b/src/libs/ownership/ask.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <agreement/vmstart.h>
+#include <utils/ids.h>
+#include <utils/time.h>
+
+#include <cstdint>
+
+namespace Ownership {
+
+/// A question that was sent and not answered yet.
+struct Ask {
+    Utils::Instant askedAt {};
+    /// Whom it went to: an upstream or a VM, the other one is empty.
+    Utils::UpstreamId upstream;
+    Agreement::VmStart peer;
+    /// Sequence of the grant; 0 when it was none.
+    std::uint64_t sequence = 0;
+
+    bool operator==(const Ask&) const = default;
+};
+
+} // namespace Ownership
--- /dev/null
+++ b/src/libs/ownership/asking.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <ownership/action.h>
+#include <ownership/granterstate.h>
+#include <utils/time.h>
+
+#include <vector>
+
+/// What a granter sends, and when.
+namespace Ownership::Internal {
+
+/// Sends the grants, fences and messages that are due.
+void askAll(GranterState& state, Utils::Instant now, std::vector<Action>& actions);
+
+} // namespace Ownership::Internal
--- /dev/null
+++ b/src/libs/ownership/attestation.cpp
@@ -0,0 +1,80 @@
+#include <ownership/attestation.h>
+
+#include <ownership/granterrules.h>
+
+#include <algorithm>
+
+namespace Ownership::Internal {
+
+namespace {
+
+using Proof = std::optional<Utils::Instant>;
+
+Proof proofOfUpstream(const GranterState& state, const Utils::UpstreamId& upstream)
+{
+    const std::map<Utils::UpstreamId, UpstreamView>::const_iterator view = state.upstreams.find(upstream);
+    return view == state.upstreams.end() ? Proof() : view->second.proofAskedAt;
+}
+
+Proof proofOfVm(const GranterState& state, const Agreement::VmStart& vm)
+{
+    const std::map<Agreement::VmStart, PeerView>::const_iterator view = state.peers.find(vm);
+    return view == state.peers.end() ? Proof() : view->second.proofAskedAt;
+}
+
+bool upstreamAttests(
+    const GranterState& state, const Utils::UpstreamId& upstream, const Utils::UpstreamId& holder)
+{
+    if (upstream.value.empty() || !checksGrants(state, upstream))
+        return false;
+    return upstream != holder || waived(state, Guard::HolderIsNoAttestor);
+}
+
+} // namespace
+
+std::optional<Utils::Instant> attestedUntil(
+    const GranterState& state, const Utils::UpstreamId& holder, const Utils::ShardId& shard)
+{
+    const std::map<Utils::ShardId, Agreement::ShardAssignment>::const_iterator pair
+        = state.assignment.shards.find(shard);
+    if (pair == state.assignment.shards.end())
+        return std::nullopt;
+    bool anyAttestor = false;
+    Proof latest;
+    const Agreement::VmStart& other = otherVm(state, state.level);
+    if (!other.vm.value.empty()) {
+        anyAttestor = true;
+        latest = std::max(latest, proofOfVm(state, other));
+    }
+    for (const Utils::UpstreamId& upstream : { pair->second.owner, pair->second.standby }) {
+        if (!upstreamAttests(state, upstream, holder))
+            continue;
+        anyAttestor = true;
+        latest = std::max(latest, proofOfUpstream(state, upstream));
+    }
+    if (!anyAttestor || waived(state, Guard::AttestedGrant))
+        return Utils::Instant::max();
+    if (!latest.has_value())
+        return std::nullopt;
+    return *latest + state.options.lease.proofWindow;
+}
+
+bool attested(const GranterState& state, const Utils::UpstreamId& holder, const Utils::ShardId& shard,
+    Utils::Instant now)
+{
+    const std::optional<Utils::Instant> until = attestedUntil(state, holder, shard);
+    return until.has_value() && now <= *until;
+}
+
+bool attestsTo(const GranterState& state, const Agreement::VmStart& from, const GrantLevel& level)
+{
+    if (level.token != state.assignment.token || level.epoch < 1 || level.epoch > 2)
+        return false;
+    const bool first = level.epoch == 1;
+    const Agreement::VmStart& granter = first ? state.assignment.dispatcher : state.assignment.successor;
+    if (!isStart(state, granter, from) || !isStart(state, otherVm(state, level), state.self))
+        return false;
+    return level >= state.highest || waived(state, Guard::HigherLevelEndsAttesting);
+}
+
+} // namespace Ownership::Internal
--- /dev/null
+++ b/src/libs/ownership/sendgrant.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <ownership/grantrequest.h>
+#include <utils/ids.h>
+
+#include <cstdint>
+
+namespace Ownership {
+
+/// Send a grant; the answer comes back through onHolderAnswer() with \c askId.
+struct SendGrant {
+    Utils::UpstreamId upstream;
+    std::uint64_t askId = 0;
+    GrantRequest request;
+
+    bool operator==(const SendGrant&) const = default;
+};
+
+} // namespace Ownership
--- /dev/null
+++ b/src/libs/ownership/sendpeer.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <agreement/vmstart.h>
+#include <ownership/peermessage.h>
+
+namespace Ownership {
+
+/// Send a message to a VM, whichever start of it is there now.
+struct SendPeer {
+    Agreement::VmStart to;
+    PeerMessage message;
+
+    bool operator==(const SendPeer&) const = default;
+};
+
+} // namespace Ownership
--- /dev/null
+++ b/src/libs/ownership/steppeddown.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <ownership/grantlevel.h>
+
+namespace Ownership {
+
+/// This VM has stopped granting for good on the assignment that it had, because it saw a higher level.
+struct SteppedDown {
+    GrantLevel seen;
+
+    bool operator==(const SteppedDown&) const = default;
+};
+
+} // namespace Ownership
--- /dev/null
+++ b/src/libs/ownership/stoprequest.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <ownership/grantlevel.h>
+#include <utils/ids.h>
+
+#include <cstdint>
+
+namespace Ownership {
+
+/// Asks a VM to grant and attest nothing below \c level from now on.
+struct StopRequest {
+    Utils::PoolId pool;
+    GrantLevel level;
+    std::uint64_t ask = 0;
+
+    bool operator==(const StopRequest&) const = default;
+};
+
+} // namespace Ownership
--- /dev/null
+++ b/src/libs/ownership/turning.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <ownership/granterstate.h>
+#include <utils/time.h>
+
+namespace Ownership::Internal {
+
+/// Turns shards from their owner to their standby where the owner is lost, or the standby holds them already.
+void turnShards(GranterState& state, Utils::Instant now);
+
+} // namespace Ownership::Internal
--- /dev/null
+++ b/src/libs/ownership/waking.cpp
@@ -0,0 +1,62 @@
+#include <ownership/waking.h>
+
+#include <ownership/granterrules.h>
+#include <ownership/serving.h>
+#include <ownership/settlement.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace Ownership::Internal {
+
+namespace {
+
+/// Lowers \a next to \a candidate if that lies ahead.
+void consider(Utils::Instant& next, std::optional<Utils::Instant> candidate, Utils::Instant now)
+{
+    if (candidate.has_value() && *candidate > now)
+        next = std::min(next, *candidate);
+}
+
+void considerUpstream(
+    const GranterState& state, const UpstreamView& view, Utils::Instant now, Utils::Instant& next)
+{
+    consider(next, view.nextAskAt, now);
+    consider(next, view.heldUntil, now);
+    const Utils::Instant heard = std::max(view.answeredAt, state.grantingSince);
+    consider(next, heard + state.options.lease.suspectAfter, now);
+    for (const SentGrant& grant : view.sent)
+        consider(next, grant.until, now);
+}
+
+void considerEarlier(const GranterState& state, const Agreement::FormerAssignment& earlier,
+    Utils::Instant now, Utils::Instant& next)
+{
+    for (const std::pair<const Utils::ShardId, Agreement::ShardAssignment>& entry : earlier.shards) {
+        for (const Utils::UpstreamId& holder : { entry.second.owner, entry.second.standby })
+            consider(next, clearFrom(state, earlier, holder, entry.first), now);
+    }
+}
+
+} // namespace
+
+Utils::Instant nextDeadline(const GranterState& state, Utils::Instant now)
+{
+    Utils::Instant next = Utils::Instant::max();
+    for (const std::pair<const Utils::UpstreamId, UpstreamView>& entry : state.upstreams)
+        considerUpstream(state, entry.second, now, next);
+    for (const std::pair<const Agreement::VmStart, PeerView>& entry : state.peers) {
+        if (!entry.second.stoppedAt.has_value() && !state.earlier.empty())
+            consider(next, entry.second.nextStopAt, now);
+        consider(next, entry.second.nextAttestAt, now);
+    }
+    for (const Agreement::FormerAssignment& earlier : state.earlier)
+        considerEarlier(state, earlier, now, next);
+    for (const std::pair<const Utils::ShardId, Utils::UpstreamId>& entry : state.served)
+        consider(next, servableUntil(state, entry.second, entry.first), now);
+    for (const std::pair<const Utils::UpstreamId, Utils::Instant>& entry : state.grantedUntil)
+        consider(next, entry.second, now);
+    return next;
+}
+
+} // namespace Ownership::Internal
