Decide what a pool's dispatcher runs, refuses and remembers

The path needs one place for each pool that holds its queue and slots, remembers non-idempotent requests and holds poison back. New reasons: request_id_reused, memory_full.

--- /dev/null
+++ b/src/libs/dispatch/callerqueue.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <requests/work.h>
+#include <utils/time.h>
+
+#include <deque>
+
+namespace Dispatch {
+
+/// What one caller has queued in a lane.
+struct CallerQueue {
+    std::deque<Requests::WorkId> works;
+    /// The caller's virtual time: service time it was charged, on the lane's scale.
+    Utils::Duration used {};
+};
+
+} // namespace Dispatch
--- /dev/null
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <utils/time.h>
+
+#include <chrono>
+
+namespace Dispatch {
+
+/// Service time that an upstream is believed to need before any was measured.
+inline constexpr Utils::Duration initialServiceTime = std::chrono::milliseconds(10);
+/// Weight of one measured service time is one part in this many.
+inline constexpr int serviceTimeWeight = 8;
+/// A mean service time is halved for each such time without a new measurement.
+inline constexpr Utils::Duration serviceTimeHalfLife = std::chrono::seconds(1);
+/// Time constant of the share of slots that a rank used lately.
+inline constexpr Utils::Duration busyShareTimeConstant = std::chrono::seconds(1);
+/// First wait after a refusal by an upstream; doubled for each further one.
+inline constexpr Utils::Duration firstUpstreamBackoff = std::chrono::milliseconds(20);
+/// Longest wait after a refusal by an upstream.
+inline constexpr Utils::Duration maxUpstreamBackoff = std::chrono::seconds(2);
+/// Completions that a cold upstream has to give one at a time.
+inline constexpr unsigned coldCompletions = 4;
+/// Time after a completion for which a report of shedding is not believed.
+inline constexpr Utils::Duration reportLag = std::chrono::seconds(1);
+/// When a caller should come back whose work found no owner or no usable upstream.
+inline constexpr Utils::Duration unservedRetryAfter = std::chrono::milliseconds(500);
+/// Shortest time that a caller is told to stay away.
+inline constexpr Utils::Duration minRetryAfter = std::chrono::milliseconds(10);
+/// Smallest share of the slots that a rank is believed to get.
+inline constexpr double minCapacityShare = 0.01;
+
+} // namespace Dispatch
--- /dev/null
+++ b/src/libs/dispatch/dispatchstate.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <declarations/rank.h>
+#include <dispatch/dispatchoptions.h>
+#include <dispatch/poisontable.h>
+#include <dispatch/requestmemory.h>
+#include <dispatch/shardplace.h>
+#include <dispatch/upstreamstate.h>
+#include <dispatch/workentry.h>
+#include <requests/retrystate.h>
+#include <requests/work.h>
+#include <utils/ids.h>
+#include <utils/time.h>
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace Dispatch {
+
+/// Everything that the dispatcher of one pool decides by. Plain data, changed only by the functions of
+/// dispatcher.h.
+struct DispatchState {
+    DispatchOptions options;
+    /// Ranks, most urgent first.
+    std::vector<Declarations::Rank> ranks;
+    std::map<Utils::RankId, std::size_t> rankIndex;
+    std::map<Utils::UpstreamId, UpstreamState> upstreams;
+    std::map<Utils::ShardId, ShardPlace> shards;
+    std::unordered_map<Requests::WorkId, WorkEntry> works;
+    /// When queued and waiting works are given up.
+    std::set<std::pair<Utils::Instant, Requests::WorkId>> giveUps;
+    /// Works in \c ShardPlace::waiting of all shards.
+    std::size_t waitingForOwner = 0;
+    RequestMemory memory;
+    PoisonTable poison;
+    /// Budget of second and further starts, by rank.
+    Requests::RetryState restarts;
+    bool draining = false;
+    /// The latest time that the state was told.
+    Utils::Instant now {};
+};
+
+} // namespace Dispatch
--- a/src/libs/requests/reason.h
+++ b/src/libs/requests/reason.h
@@ -16,6 +16,8 @@
     RankNotAllowed,
     BodyTooLarge,
     MissingIdempotencyKey,
+    /// The request id was used for another content.
+    RequestIdReused,
     // Not run: the system can't take it now.
     NoConfiguration,
     EntryOverloaded,
@@ -29,6 +31,8 @@
     DeadlinePassed,
     CallerOverShare,
     PoisonHeld,
+    /// No room to remember another non-idempotent request.
+    MemoryFull,
     Cancelled,
     // Not run: the upstream said so, or was never reached.
     UpstreamUnreachable,
@@ -45,13 +49,14 @@
     MemoryGap,
 };
 
-inline constexpr std::array<Utils::EnumName<Reason>, 30> reasonNames { {
+inline constexpr std::array<Utils::EnumName<Reason>, 32> reasonNames { {
     { Reason::None, "none" },
     { Reason::BadRequest, "bad_request" },
     { Reason::UnknownService, "unknown_service" },
     { Reason::RankNotAllowed, "rank_not_allowed" },
     { Reason::BodyTooLarge, "body_too_large" },
     { Reason::MissingIdempotencyKey, "missing_idempotency_key" },
+    { Reason::RequestIdReused, "request_id_reused" },
     { Reason::NoConfiguration, "no_configuration" },
     { Reason::EntryOverloaded, "entry_overloaded" },
     { Reason::ShuttingDown, "shutting_down" },
@@ -64,6 +69,7 @@
     { Reason::DeadlinePassed, "deadline_passed" },
     { Reason::CallerOverShare, "caller_over_share" },
     { Reason::PoisonHeld, "poison_held" },
+    { Reason::MemoryFull, "memory_full" },
     { Reason::Cancelled, "cancelled" },
     { Reason::UpstreamUnreachable, "upstream_unreachable" },
     { Reason::UpstreamShedding, "upstream_shedding" },
