Give out no shard whose keys may still be served under another name or pool

An assignment is judged per pool, so a range that moved to another pool, or was replaced by one of another name, could have had two owners: the new pool's assignment knows nothing of the old one's formers. The fold now keeps the definition of every range that an assignment still names and refuses such shards until the old assignment has been replaced and settled. A range in use can't be given other keys under its name.

--- a/src/libs/agreement/agreedstate.h
+++ b/src/libs/agreement/agreedstate.h
@@ -3,6 +3,7 @@
 #include <agreement/poolassignment.h>
 #include <agreement/writer.h>
 #include <agreement/writerprogress.h>
+#include <declarations/keyrange.h>
 #include <utils/ids.h>
 
 #include <map>
@@ -21,6 +22,8 @@
     /// The configuration in force as text.
     std::string configurationText;
     std::map<Utils::PoolId, PoolAssignment> assignments;
+    /// Ranges that are no longer declared but that an assignment or a former one still names.
+    std::map<Utils::KeyRangeId, Declarations::KeyRange> retiredRanges;
     std::map<Writer, WriterProgress> writers;
 
     bool operator==(const AgreedState&) const = default;
--- a/src/libs/agreement/assignmentrules.cpp
+++ b/src/libs/agreement/assignmentrules.cpp
@@ -1,7 +1,8 @@
 #include <agreement/assignmentrules.h>
+#include <agreement/rangerules.h>
 
 #include <algorithm>
-#include <string>
+#include <set>
 
 namespace Agreement {
 
@@ -61,33 +62,38 @@
         });
 }
 
+bool placesAreValid(const LogState& state, const AssignmentRecord& record)
+{
+    const std::map<Utils::PoolId, Declarations::UpstreamPool>::const_iterator pool
+        = state.configuration->pools.find(record.pool);
+    const bool canServe = pool != state.configuration->pools.end() && hasUsableUpstream(pool->second);
+    if (!canServe)
+        return record.upstreams.empty() && record.shards.empty();
+    if (!upstreamsAreValid(pool->second, record) || !holdersAreValid(record))
+        return false;
+    return shardsMatch(assignableShards(state, record.pool), record);
+}
+
 } // namespace Internal
 
-std::set<Utils::ShardId> shardsOfPool(
-    const Declarations::Configuration& configuration, const Utils::PoolId& pool)
+bool assignmentIsValid(const LogState& state, const AssignmentRecord& record)
 {
-    std::set<Utils::ShardId> shards;
-    for (const std::pair<const Utils::KeyRangeId, Declarations::KeyRange>& entry : configuration.keyRanges) {
-        if (entry.second.pool != pool)
-            continue;
-        for (unsigned bucket = 0; bucket < entry.second.shards; ++bucket)
-            shards.insert(Utils::ShardId { entry.first.value + "/" + std::to_string(bucket) });
-    }
-    return shards;
+    if (!state.configuration)
+        return false;
+    return Internal::dispatchersAreValid(record) && Internal::placesAreValid(state, record);
 }
 
-bool assignmentIsValid(const Declarations::Configuration& configuration, const AssignmentRecord& record)
+bool assignmentFits(const LogState& state, const Utils::PoolId& pool)
 {
-    if (!Internal::dispatchersAreValid(record))
-        return false;
-    const std::map<Utils::PoolId, Declarations::UpstreamPool>::const_iterator pool
-        = configuration.pools.find(record.pool);
-    const bool canServe = pool != configuration.pools.end() && Internal::hasUsableUpstream(pool->second);
-    if (!canServe)
-        return record.upstreams.empty() && record.shards.empty();
-    if (!Internal::upstreamsAreValid(pool->second, record) || !Internal::holdersAreValid(record))
-        return false;
-    return Internal::shardsMatch(shardsOfPool(configuration, record.pool), record);
+    const std::map<Utils::PoolId, PoolAssignment>::const_iterator present
+        = state.agreed.assignments.find(pool);
+    if (present == state.agreed.assignments.end())
+        return !state.configuration || !state.configuration->pools.contains(pool);
+    AssignmentRecord record;
+    record.pool = pool;
+    record.upstreams = present->second.upstreams;
+    record.shards = present->second.shards;
+    return state.configuration && Internal::placesAreValid(state, record);
 }
 
 } // namespace Agreement
--- a/src/libs/agreement/assignmentrules.h
+++ b/src/libs/agreement/assignmentrules.h
@@ -1,17 +1,15 @@
 #pragma once
 
 #include <agreement/assignmentrecord.h>
-#include <declarations/configuration.h>
-
-#include <set>
+#include <agreement/logstate.h>
 
 namespace Agreement {
 
-/// Every shard that \a configuration gives to \a pool.
-std::set<Utils::ShardId> shardsOfPool(
-    const Declarations::Configuration& configuration, const Utils::PoolId& pool);
+/// Whether \a record fits the configuration in force and does not contradict itself.
+bool assignmentIsValid(const LogState& state, const AssignmentRecord& record);
 
-/// Whether \a record fits \a configuration and does not contradict itself.
-bool assignmentIsValid(const Declarations::Configuration& configuration, const AssignmentRecord& record);
+/// Whether the present assignment of \a pool still fits the configuration in force, with all the shards that
+/// it can have by now; if not, a new one is due.
+bool assignmentFits(const LogState& state, const Utils::PoolId& pool);
 
 } // namespace Agreement
--- a/src/libs/agreement/fold.cpp
+++ b/src/libs/agreement/fold.cpp
@@ -2,6 +2,7 @@
 #include <agreement/assignmentrules.h>
 #include <agreement/checkpoint.h>
 #include <agreement/fold.h>
+#include <agreement/rangerules.h>
 #include <agreement/recordcodec.h>
 
 #include <boost/leaf/handle_errors.hpp>
@@ -48,6 +49,9 @@
     std::optional<Declarations::Configuration> configuration = parseConfiguration(record.text);
     if (!configuration)
         return Verdict::InvalidConfiguration;
+    if (redefinesRangeInUse(state, *configuration))
+        return Verdict::RangeInUse;
+    state.agreed.retiredRanges = retiredRangesUnder(state, *configuration);
     state.configuration = std::move(configuration);
     state.agreed.configurationOffset = offset;
     state.agreed.configurationText = record.text;
@@ -71,7 +75,7 @@
         return Verdict::UnknownPool;
     if (record.basedOn != (isAssigned ? present->second.token : 0))
         return Verdict::StaleToken;
-    if (!state.configuration || !assignmentIsValid(*state.configuration, record))
+    if (!assignmentIsValid(state, record))
         return Verdict::InvalidAssignment;
     std::vector<FormerAssignment> formers;
     if (isAssigned) {
@@ -102,6 +106,8 @@
     const bool isDeclared = state.configuration && state.configuration->pools.contains(record.pool);
     if (!isDeclared && assignment.upstreams.empty())
         state.agreed.assignments.erase(present);
+    if (state.configuration)
+        state.agreed.retiredRanges = retiredRangesUnder(state, *state.configuration);
     return Verdict::Accepted;
 }
 
--- a/src/libs/agreement/recordencoder.cpp
+++ b/src/libs/agreement/recordencoder.cpp
@@ -92,6 +92,18 @@
     return object;
 }
 
+json::object rangeToJson(const Declarations::KeyRange& range)
+{
+    json::object object;
+    object["id"] = range.id.value;
+    object["service"] = range.service.value;
+    object["from"] = range.from;
+    object["to"] = range.to ? json::value(*range.to) : json::value();
+    object["pool"] = range.pool.value;
+    object["shards"] = range.shards;
+    return object;
+}
+
 json::object stateToJson(const AgreedState& state)
 {
     json::object object;
@@ -103,6 +115,10 @@
     for (const std::pair<const Utils::PoolId, PoolAssignment>& entry : state.assignments)
         assignments.emplace_back(assignmentToJson(entry.second));
     object["assignments"] = std::move(assignments);
+    json::array ranges;
+    for (const std::pair<const Utils::KeyRangeId, Declarations::KeyRange>& entry : state.retiredRanges)
+        ranges.emplace_back(rangeToJson(entry.second));
+    object["retired_ranges"] = std::move(ranges);
     json::array writers;
     for (const std::pair<const Writer, WriterProgress>& entry : state.writers)
         writers.emplace_back(progressToJson(entry.first, entry.second));
--- a/src/libs/agreement/verdict.h
+++ b/src/libs/agreement/verdict.h
@@ -17,6 +17,8 @@
     StaleToken,
     /// A configuration that has faults.
     InvalidConfiguration,
+    /// A configuration that gives other keys to a range while an assignment still names it.
+    RangeInUse,
     /// The pool is neither declared nor assigned.
     UnknownPool,
     /// An assignment that does not fit the configuration in force, or contradicts itself.
@@ -35,12 +37,13 @@
     Undecodable,
 };
 
-inline constexpr std::array<Utils::EnumName<Verdict>, 13> verdictNames { {
+inline constexpr std::array<Utils::EnumName<Verdict>, 14> verdictNames { {
     { Verdict::Accepted, "accepted" },
     { Verdict::Repeat, "repeat" },
     { Verdict::StaleBase, "stale_base" },
     { Verdict::StaleToken, "stale_token" },
     { Verdict::InvalidConfiguration, "invalid_configuration" },
+    { Verdict::RangeInUse, "range_in_use" },
     { Verdict::UnknownPool, "unknown_pool" },
     { Verdict::InvalidAssignment, "invalid_assignment" },
     { Verdict::TooManyFormers, "too_many_formers" },
--- a/tests/auto/agreement/agreementfixture.cpp
+++ b/tests/auto/agreement/agreementfixture.cpp
@@ -93,6 +93,7 @@
     const std::vector<Agreement::RecordVariant>& records, Utils::Offset from)
 {
     std::vector<Agreement::LogRecord> log;
+    log.reserve(records.size());
     for (const Agreement::RecordVariant& record : records)
         log.push_back({ from + log.size(), 0, Agreement::encodeRecord(record) });
     return log;
