--- a/tests/auto/declarations/tst_configurationreader.cpp
+++ b/tests/auto/declarations/tst_configurationreader.cpp
@@ -1,25 +1,14 @@
 #include "baseset.h"
+#include "faultprinter.h"
 
 #include <declarations/configurationreader.h>
 #include <declarations/declarationsconstants.h>
 
 #include <catch2/catch.hpp>
 
-#include <ostream>
 #include <string>
 #include <vector>
 
-namespace Declarations {
-
-std::ostream& operator<<(std::ostream& stream, const Fault& fault)
-{
-    return stream << Utils::enumName(faultCodeNames, fault.code) << ' ' << fault.file << fault.place << ' '
-                  << Utils::enumName(objectKindNames, fault.kind) << ' ' << fault.object << ": "
-                  << fault.detail;
-}
-
-} // namespace Declarations
-
 namespace {
 
 using Declarations::Document;
