Add the gateway: the duties of one instance

The network duty carries callers, data links and upstreams in coroutines; the control duty folds the log, drives the granters and proposes assignments; decisions stay in the pure libraries.

--- a/cmake/crocusferryapi.cmake
+++ b/cmake/crocusferryapi.cmake
@@ -26,7 +26,7 @@
 target_compile_options(crocus_options INTERFACE -Wall -Wextra -Wpedantic -Werror
   $<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>)
 target_compile_definitions(crocus_options INTERFACE
-  BOOST_ASIO_NO_DEPRECATED BOOST_LEAF_CFG_DIAGNOSTICS=0 BOOST_LEAF_CFG_STD_STRING=1)
+  CROCUS_VERSION="${PROJECT_VERSION}" BOOST_ASIO_NO_DEPRECATED BOOST_LEAF_CFG_DIAGNOSTICS=0 BOOST_LEAF_CFG_STD_STRING=1)
 target_include_directories(crocus_options INTERFACE
   "$<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}/src/libs>" "$<INSTALL_INTERFACE:include/crocusferry>")
 target_link_libraries(crocus_options INTERFACE Threads::Threads)
--- /dev/null
+++ b/src/libs/gateway/drainrequested.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace Gateway {
+
+/// This VM stops: no new work is taken.
+struct DrainRequested { };
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/holdercalls.cpp
@@ -0,0 +1,148 @@
+#include <gateway/holdercalls.h>
+
+#include <gateway/gatewayconstants.h>
+#include <gateway/granters.h>
+#include <gateway/holdercodec.h>
+#include <gateway/poolpolicy.h>
+#include <logging/log.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+
+namespace Gateway {
+
+namespace Internal {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace leaf = boost::leaf;
+
+constexpr unsigned httpVersion = 11;
+constexpr std::size_t maxIdleConnections = 4;
+constexpr std::uint64_t maxHolderAnswerBytes = 1 << 20;
+
+asio::awaitable<std::unique_ptr<UpstreamConnection>> connectionTo(
+    ControlState& state, const Declarations::Upstream& upstream)
+{
+    std::vector<std::unique_ptr<UpstreamConnection>>& idle = state.idle[upstream.id];
+    if (!idle.empty()) {
+        std::unique_ptr<UpstreamConnection> connection = std::move(idle.back());
+        idle.pop_back();
+        if (Utils::monotonicNow() - connection->lastUsed <= idleReuse)
+            co_return connection;
+        idle.clear();
+    }
+    std::unique_ptr<UpstreamConnection> connection
+        = std::make_unique<UpstreamConnection>(state.context.get_executor());
+    boost::system::error_code error;
+    connection->stream.expires_after(controlTimeout);
+    co_await connection->stream.async_connect(
+        asio::ip::tcp::endpoint(asio::ip::make_address(upstream.address), upstream.port),
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return nullptr;
+    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+    co_return connection;
+}
+
+std::optional<Ownership::HolderAnswer> decode(ControlState& state, const std::string& body)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<Ownership::HolderAnswer>> {
+            BOOST_LEAF_AUTO(answer, decodeHolderAnswer(body));
+            return std::optional<Ownership::HolderAnswer>(answer);
+        },
+        [&](HolderError error) {
+            state.metrics.counters.add(Counter::UpstreamAnswersMalformed);
+            Logging::write(Logging::Level::Warning, "holder_answer_malformed",
+                { { "error", Utils::enumName(holderErrorNames, error) } });
+            return std::optional<Ownership::HolderAnswer>();
+        },
+        []() { return std::optional<Ownership::HolderAnswer>(); });
+}
+
+/// One exchange; nothing when it fails in any way.
+asio::awaitable<std::optional<Ownership::HolderAnswer>> exchange(
+    ControlState& state, Utils::UpstreamId id, http::verb method, std::string target, std::string body)
+{
+    const Declarations::Upstream* found
+        = state.configuration == nullptr ? nullptr : findUpstream(*state.configuration, id);
+    if (found == nullptr)
+        co_return std::nullopt;
+    const Declarations::Upstream upstream = *found;
+    std::unique_ptr<UpstreamConnection> connection = co_await connectionTo(state, upstream);
+    if (connection == nullptr)
+        co_return std::nullopt;
+    http::request<http::string_body> request(method, target, httpVersion);
+    request.body() = std::move(body);
+    request.prepare_payload();
+    boost::system::error_code error;
+    connection->stream.expires_after(controlTimeout);
+    co_await http::async_write(connection->stream, request, asio::redirect_error(asio::use_awaitable, error));
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(maxHolderAnswerBytes);
+    if (!error)
+        co_await http::async_read(
+            connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return std::nullopt;
+    const std::optional<Ownership::HolderAnswer> answer = decode(state, parser.get().body());
+    std::vector<std::unique_ptr<UpstreamConnection>>& idle = state.idle[id];
+    connection->lastUsed = Utils::monotonicNow();
+    if (parser.keep_alive() && idle.size() < maxIdleConnections)
+        idle.push_back(std::move(connection));
+    co_return answer;
+}
+
+void noteHealth(ControlState& state, const Utils::UpstreamId& id, const std::optional<Ownership::HolderAnswer>& answer)
+{
+    if (!answer) {
+        state.metrics.counters.add(Counter::HolderCallsFailed);
+        return;
+    }
+    UpstreamHealth& health = state.upstreams[id];
+    health.incarnation = answer->incarnation;
+    health.lastHeard = Utils::monotonicNow();
+}
+
+} // namespace Internal
+
+boost::asio::awaitable<void> callHolder(ControlState& state, Utils::PoolId pool, Ownership::SendGrant call)
+{
+    state.metrics.counters.add(Counter::GrantsSent);
+    const std::optional<Ownership::HolderAnswer> answer = co_await Internal::exchange(
+        state, call.upstream, boost::beast::http::verb::post, "/control/grant", encodeGrant(call.request));
+    Internal::noteHealth(state, call.upstream, answer);
+    if (answer)
+        noteHolderAnswer(state, pool, call.upstream, call.askId, *answer);
+}
+
+boost::asio::awaitable<void> callHolder(ControlState& state, Utils::PoolId pool, Ownership::SendFence call)
+{
+    namespace http = boost::beast::http;
+    state.metrics.counters.add(Counter::FencesSent);
+    const Declarations::Upstream* upstream
+        = state.configuration == nullptr ? nullptr : findUpstream(*state.configuration, call.upstream);
+    const bool checks = upstream == nullptr || upstream->checksGrants;
+    std::optional<Ownership::HolderAnswer> answer;
+    if (checks)
+        answer = co_await Internal::exchange(
+            state, call.upstream, http::verb::post, "/control/fence", encodeFence(call.request));
+    else
+        answer = co_await Internal::exchange(state, call.upstream, http::verb::get, "/control/state", "");
+    Internal::noteHealth(state, call.upstream, answer);
+    if (answer)
+        noteHolderAnswer(state, pool, call.upstream, call.askId, *answer);
+}
+
+boost::asio::awaitable<void> pollUpstream(ControlState& state, Utils::UpstreamId upstream)
+{
+    const std::optional<Ownership::HolderAnswer> answer = co_await Internal::exchange(
+        state, upstream, boost::beast::http::verb::get, "/control/state", "");
+    Internal::noteHealth(state, upstream, answer);
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/linkphase.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace Gateway {
+
+/// How far a data link has come.
+enum class LinkPhase {
+    Connecting,
+    Open,
+    Closed,
+};
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/membership/proposalinput.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <agreement/agreedstate.h>
+#include <declarations/configuration.h>
+#include <membership/vmcandidate.h>
+#include <utils/ids.h>
+
+#include <map>
+
+namespace Membership {
+
+/// What a VM knows when it considers a new assignment of one pool.
+struct ProposalInput {
+    const Declarations::Configuration& configuration;
+    const Agreement::AgreedState& agreed;
+    Utils::PoolId pool;
+    Utils::VmId self;
+    /// VMs that are alive, this one among them.
+    std::map<Utils::VmId, VmCandidate> vms;
+    /// The start of each upstream that answers.
+    std::map<Utils::UpstreamId, Utils::Incarnation> upstreams;
+    /// Where shards are served now, as far as this VM knows; it comes before the agreed owner.
+    std::map<Utils::ShardId, Utils::UpstreamId> served;
+};
+
+} // namespace Membership
