--- a/src/libs/dispatch/capacity.cpp
+++ b/src/libs/dispatch/capacity.cpp
@@ -101,9 +101,8 @@
 std::size_t aheadOf(const Lane& lane, const std::string& caller)
 {
     const std::map<std::string, CallerQueue>::const_iterator found = lane.callers.find(caller);
-    const bool known = found != lane.callers.end();
-    const std::size_t own = known ? found->second.works.size() : 0;
-    const std::size_t others = lane.callers.size() - (known ? 1 : 0);
+    const std::size_t own = found == lane.callers.end() ? 0 : found->second.works.size();
+    const std::size_t others = lane.order.size() - (own > 0 ? 1 : 0);
     return std::min(lane.size, own + (own + 1) * others);
 }
 
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -41,6 +41,7 @@
     if (upstream == nullptr)
         return;
     Internal::schedule(state, *upstream, now, actions);
+    Internal::giveUpDue(state, now, actions);
     const std::unordered_map<WorkId, WorkEntry>::const_iterator waiting = state.works.find(work.id);
     if (waiting != state.works.end())
         Internal::evictExcess(state, waiting->second, now, actions);
--- a/src/libs/dispatch/lane.h
+++ b/src/libs/dispatch/lane.h
@@ -14,9 +14,9 @@
 
 /// The works of one rank for one upstream, fair between callers.
 struct Lane {
-    /// Only callers with queued works.
+    /// Callers with queued or running works.
     std::map<std::string, CallerQueue> callers;
-    /// The callers by virtual time; the first is served next.
+    /// The callers with queued works by virtual time; the first is served next.
     std::set<std::pair<Utils::Duration, std::string>> order;
     /// Virtual time of the caller served last.
     Utils::Duration virtualTime {};
--- a/src/libs/dispatch/lanes.cpp
+++ b/src/libs/dispatch/lanes.cpp
@@ -7,24 +7,33 @@
 
 namespace {
 
+/// The caller's queue, which is about to hold a work. A caller that had none starts level with the others.
 CallerQueue& queueOf(Lane& lane, const std::string& caller)
 {
-    const std::map<std::string, CallerQueue>::iterator found = lane.callers.find(caller);
-    if (found != lane.callers.end())
-        return found->second;
     CallerQueue& queue = lane.callers[caller];
-    queue.used = lane.virtualTime;
+    if (!queue.works.empty())
+        return queue;
+    queue.used = std::max(queue.used, lane.virtualTime);
     lane.order.emplace(queue.used, caller);
     return queue;
 }
 
-void dropIfEmpty(Lane& lane, const std::string& caller)
+void charge(Lane& lane, const std::string& caller, CallerQueue& queue, Utils::Duration time)
+{
+    const bool isOrdered = lane.order.erase({ queue.used, caller }) > 0;
+    queue.used += time;
+    if (isOrdered)
+        lane.order.emplace(queue.used, caller);
+}
+
+void dropIfIdle(Lane& lane, const std::string& caller)
 {
     const std::map<std::string, CallerQueue>::iterator found = lane.callers.find(caller);
     if (!found->second.works.empty())
         return;
     lane.order.erase({ found->second.used, caller });
-    lane.callers.erase(found);
+    if (found->second.running == 0)
+        lane.callers.erase(found);
 }
 
 } // namespace
@@ -46,14 +55,16 @@
     return lane.callers.at(lane.order.begin()->second).works.front();
 }
 
-void popNext(Lane& lane, Utils::Duration charge)
+void popNext(Lane& lane, Utils::Duration time)
 {
     const std::string caller = lane.order.begin()->second;
     lane.virtualTime = std::max(lane.virtualTime, lane.order.begin()->first);
-    lane.callers.at(caller).works.pop_front();
+    CallerQueue& queue = lane.callers.at(caller);
+    queue.works.pop_front();
+    ++queue.running;
     --lane.size;
-    chargeCaller(lane, caller, charge);
-    dropIfEmpty(lane, caller);
+    charge(lane, caller, queue, time);
+    dropIfIdle(lane, caller);
 }
 
 void eraseFrom(Lane& lane, const std::string& caller, Requests::WorkId work)
@@ -61,17 +72,17 @@
     std::deque<Requests::WorkId>& works = lane.callers.at(caller).works;
     works.erase(std::find(works.begin(), works.end(), work));
     --lane.size;
-    dropIfEmpty(lane, caller);
+    dropIfIdle(lane, caller);
 }
 
-void chargeCaller(Lane& lane, const std::string& caller, Utils::Duration charge)
+void settleCaller(Lane& lane, const std::string& caller, Utils::Duration correction)
 {
     const std::map<std::string, CallerQueue>::iterator found = lane.callers.find(caller);
-    if (found == lane.callers.end())
+    if (found == lane.callers.end() || found->second.running == 0)
         return;
-    lane.order.erase({ found->second.used, caller });
-    found->second.used += charge;
-    lane.order.emplace(found->second.used, caller);
+    --found->second.running;
+    charge(lane, caller, found->second, correction);
+    dropIfIdle(lane, caller);
 }
 
 const std::string& longestCaller(const Lane& lane)
--- a/src/libs/dispatch/lanes.h
+++ b/src/libs/dispatch/lanes.h
@@ -18,14 +18,14 @@
 /// The work to be served next; the lane must not be empty.
 Requests::WorkId nextOf(const Lane& lane);
 
-/// Takes the next work out and charges its caller.
-void popNext(Lane& lane, Utils::Duration charge);
+/// Takes the next work out to be run, and charges its caller.
+void popNext(Lane& lane, Utils::Duration time);
 
 /// Takes a work out, wherever it stands.
 void eraseFrom(Lane& lane, const std::string& caller, Requests::WorkId work);
 
-/// Charges a caller that still has works queued.
-void chargeCaller(Lane& lane, const std::string& caller, Utils::Duration charge);
+/// A work of the caller runs no longer; corrects what it was charged.
+void settleCaller(Lane& lane, const std::string& caller, Utils::Duration correction);
 
 /// The caller with the most works queued; the lane must not be empty.
 const std::string& longestCaller(const Lane& lane);
--- a/src/libs/dispatch/queueing.cpp
+++ b/src/libs/dispatch/queueing.cpp
@@ -39,11 +39,18 @@
                                                                 : Reason::UpstreamDraining;
 }
 
+/// When the upstream ceased to be usable.
+Utils::Instant unusableSince(const DispatchState& state, const UpstreamState& upstream)
+{
+    const bool leaves = upstream.condition == UpstreamCondition::Leaving;
+    return upstream.conditionSince + (leaves ? state.options.caps.leavingGrace : Utils::Duration(0));
+}
+
 void setQueuedGiveUp(
     DispatchState& state, const UpstreamState& upstream, WorkEntry& entry, Utils::Instant now)
 {
     if (!isUsable(state, upstream, now)) {
-        const Utils::Instant end = waitEnd(state, entry, upstream.conditionSince, now);
+        const Utils::Instant end = waitEnd(state, entry, unusableSince(state, upstream), now);
         setGiveUp(state, entry, end, unusableReason(upstream));
         return;
     }
@@ -51,6 +58,18 @@
     setGiveUp(state, entry, entry.work.deadline - service, Reason::DeadlinePassed);
 }
 
+/// Works that wait for an unusable upstream already keep their time.
+void renewGiveUps(
+    DispatchState& state, const UpstreamState& upstream, const CallerQueue& queue, Utils::Instant now)
+{
+    const bool usable = isUsable(state, upstream, now);
+    for (const WorkId id : queue.works) {
+        WorkEntry& entry = state.works.at(id);
+        if (usable || entry.giveUpReason != unusableReason(upstream))
+            setQueuedGiveUp(state, upstream, entry, now);
+    }
+}
+
 void waitForOwner(DispatchState& state, WorkEntry& entry, Utils::Instant now, std::vector<Action>& actions)
 {
     ShardPlace& place = state.shards.at(entry.work.shard);
@@ -119,10 +138,8 @@
 void setGiveUps(DispatchState& state, UpstreamState& upstream, Utils::Instant now)
 {
     for (const Lane& lane : upstream.lanes) {
-        for (const std::pair<const std::string, CallerQueue>& caller : lane.callers) {
-            for (const WorkId id : caller.second.works)
-                setQueuedGiveUp(state, upstream, state.works.at(id), now);
-        }
+        for (const std::pair<const std::string, CallerQueue>& caller : lane.callers)
+            renewGiveUps(state, upstream, caller.second, now);
     }
 }
 
