--- a/src/libs/dispatch/admission.cpp
+++ b/src/libs/dispatch/admission.cpp
@@ -28,7 +28,7 @@
 {
     if (work.requestId.value.empty())
         return answer(work, Reason::MissingIdempotencyKey);
-    const std::optional<Action> repeat = answerRepeat(state.memory, work);
+    std::optional<Action> repeat = answerRepeat(state.memory, work);
     if (repeat.has_value())
         return repeat;
     const Utils::Instant complete
@@ -83,7 +83,7 @@
 std::optional<Action> refuse(DispatchState& state, const Work& work, Utils::Instant now)
 {
     if (!work.idempotent) {
-        const std::optional<Action> repeat = refuseByMemory(state, work, now);
+        std::optional<Action> repeat = refuseByMemory(state, work, now);
         if (repeat.has_value())
             return repeat;
     }
--- a/tests/auto/dispatch/tst_invariants.cpp
+++ b/tests/auto/dispatch/tst_invariants.cpp
@@ -184,6 +184,8 @@
     expect(run, run.state.works.empty(), "a work left behind");
     expect(run, run.state.giveUps.empty(), "a timer left behind");
     expect(run, run.state.waitingForOwner == 0, "a count left behind");
+    for (const std::pair<const RequestKey, RememberedRequest>& request : run.state.memory.requests)
+        expect(run, request.second.phase != RequestPhase::Active, "a request that is active without work");
     return !run.broken;
 }
 
