--- a/src/libs/dispatch/capacity.cpp
+++ b/src/libs/dispatch/capacity.cpp
@@ -110,7 +110,8 @@
     std::size_t ahead, Utils::Instant now)
 {
     const double slots = slotsOf(upstream);
-    Utils::Duration queued = ahead * expectedService(upstream, rank, now);
+    const Utils::Duration own = ahead * expectedService(upstream, rank, now);
+    Utils::Duration urgent {};
     Utils::Duration running {};
     for (std::size_t other = 0; other < upstream.lanes.size(); ++other) {
         const Lane& lane = upstream.lanes[other];
@@ -118,10 +119,13 @@
             continue;
         const Utils::Duration service = expectedService(upstream, other, now);
         if (other < rank)
-            queued += lane.size * service;
+            urgent += lane.size * service;
         running += lane.running * service;
     }
-    Utils::Duration wait = scaled(queued, 1 / (slots * capacityShare(state, upstream, rank)));
+    Utils::Duration wait = scaled(own + urgent, 1 / (slots * capacityShare(state, upstream, rank)));
+    const double floorShare = state.ranks[rank].floorShare;
+    if (floorShare > 0)
+        wait = std::min(wait, scaled(own, 1 / (slots * floorShare)));
     if (slotsTaken(upstream) >= slotLimit(upstream))
         wait += scaled(running, 1 / (2 * slots));
     return wait + std::max(upstream.pausedUntil - now, Utils::Duration(0));
--- a/tests/auto/dispatch/tst_dispatcher.cpp
+++ b/tests/auto/dispatch/tst_dispatcher.cpp
@@ -222,3 +222,13 @@
     CHECK(state.works.contains({ 41 }));
     CHECK(state.upstreams.at(one).lanes.at(0).size == 10);
 }
+
+TEST_CASE("A rank with a floor is let in behind any number of more urgent works", "[dispatcher]")
+{
+    DispatchState state = pool();
+    for (std::uint64_t id = 1; id <= 200; ++id)
+        submit(state, work(id), start);
+    Requests::Work floored = work(201, normal);
+    floored.deadline = start + 100ms;
+    CHECK(answerOf(submit(state, floored, start), 201) == Reason::None);
+}
