--- a/src/libs/dispatch/capacity.cpp
+++ b/src/libs/dispatch/capacity.cpp
@@ -101,9 +101,8 @@
 std::size_t aheadOf(const Lane& lane, const std::string& caller)
 {
     const std::map<std::string, CallerQueue>::const_iterator found = lane.callers.find(caller);
-    const bool known = found != lane.callers.end();
-    const std::size_t own = known ? found->second.works.size() : 0;
-    const std::size_t others = lane.callers.size() - (known ? 1 : 0);
+    const std::size_t own = found == lane.callers.end() ? 0 : found->second.works.size();
+    const std::size_t others = lane.order.size() - (own > 0 ? 1 : 0);
     return std::min(lane.size, own + (own + 1) * others);
 }
 
@@ -111,7 +110,8 @@
     std::size_t ahead, Utils::Instant now)
 {
     const double slots = slotsOf(upstream);
-    Utils::Duration queued = ahead * expectedService(upstream, rank, now);
+    const Utils::Duration own = ahead * expectedService(upstream, rank, now);
+    Utils::Duration urgent {};
     Utils::Duration running {};
     for (std::size_t other = 0; other < upstream.lanes.size(); ++other) {
         const Lane& lane = upstream.lanes[other];
@@ -119,10 +119,13 @@
             continue;
         const Utils::Duration service = expectedService(upstream, other, now);
         if (other < rank)
-            queued += lane.size * service;
+            urgent += lane.size * service;
         running += lane.running * service;
     }
-    Utils::Duration wait = scaled(queued, 1 / (slots * capacityShare(state, upstream, rank)));
+    Utils::Duration wait = scaled(own + urgent, 1 / (slots * capacityShare(state, upstream, rank)));
+    const double floorShare = state.ranks[rank].floorShare;
+    if (floorShare > 0)
+        wait = std::min(wait, scaled(own, 1 / (slots * floorShare)));
     if (slotsTaken(upstream) >= slotLimit(upstream))
         wait += scaled(running, 1 / (2 * slots));
     return wait + std::max(upstream.pausedUntil - now, Utils::Duration(0));
