--- a/tests/standins/upstream/answers.cpp
+++ b/tests/standins/upstream/answers.cpp
@@ -16,7 +16,7 @@
 namespace Internal {
 
 constexpr std::string_view retryAfterMilliseconds = "50";
-constexpr std::uint64_t largestUnchunked = 64U * 1024U;
+constexpr std::uint64_t largestUnchunked = 64ULL * 1024ULL;
 
 const HttpRequest& requestOf(const Session& session) { return session.parser->get(); }
 
--- a/tests/standins/upstream/lease.cpp
+++ b/tests/standins/upstream/lease.cpp
@@ -29,7 +29,7 @@
 
 Ownership::HolderAnswer takeGrant(UpstreamServer& server, const Ownership::GrantRequest& grant)
 {
-    const Ownership::HolderAnswer answer = Ownership::applyGrant(server.holder, grant, holderClock(server));
+    Ownership::HolderAnswer answer = Ownership::applyGrant(server.holder, grant, holderClock(server));
     Journal::UpstreamRow row = newRow(server, Journal::UpstreamEvent::GrantAccepted);
     row.level = grant.level;
     if (answer.verdict != Ownership::HolderVerdict::Accepted) {
@@ -47,7 +47,7 @@
 
 Ownership::HolderAnswer takeFence(UpstreamServer& server, const Ownership::FenceRequest& fence)
 {
-    const Ownership::HolderAnswer answer = Ownership::applyFence(server.holder, fence, holderClock(server));
+    Ownership::HolderAnswer answer = Ownership::applyFence(server.holder, fence, holderClock(server));
     Journal::UpstreamRow row = newRow(server, Journal::UpstreamEvent::Fenced);
     row.level = fence.level;
     if (answer.verdict != Ownership::HolderVerdict::Accepted) {
--- a/tests/standins/upstream/session.cpp
+++ b/tests/standins/upstream/session.cpp
@@ -21,7 +21,7 @@
 
 namespace Internal {
 
-constexpr std::uint64_t largestBodyBytes = 64U * 1024U * 1024U;
+constexpr std::uint64_t largestBodyBytes = 64ULL * 1024ULL * 1024ULL;
 
 void routeRequest(UpstreamServer& server, ConnectionId id)
 {
--- a/tests/standins/upstream/streamedanswer.cpp
+++ b/tests/standins/upstream/streamedanswer.cpp
@@ -8,7 +8,7 @@
 
 namespace Internal {
 
-constexpr std::uint64_t pieceBytes = 16U * 1024U;
+constexpr std::uint64_t pieceBytes = 16ULL * 1024ULL;
 
 } // namespace Internal
 
