--- a/tests/standins/upstream/listener.cpp
+++ b/tests/standins/upstream/listener.cpp
@@ -2,10 +2,10 @@
 
 #include <standins/upstream/upstreamserver.h>
 
+#include <standins/journal/endpoint.h>
+
 #include <algorithm>
-#include <charconv>
 #include <chrono>
-#include <system_error>
 #include <utility>
 
 namespace StandInUpstream {
@@ -52,27 +52,10 @@
 
 } // namespace Internal
 
-boost::asio::ip::tcp::endpoint endpointFrom(const std::string& text, boost::system::error_code& error)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        error = boost::asio::error::invalid_argument;
-        return {};
-    }
-    std::uint16_t port = 0;
-    const char* end = text.data() + text.size();
-    const std::from_chars_result parsed = std::from_chars(text.data() + colon + 1, end, port);
-    if (parsed.ec != std::errc() || parsed.ptr != end) {
-        error = boost::asio::error::invalid_argument;
-        return {};
-    }
-    return { boost::asio::ip::make_address(text.substr(0, colon), error), port };
-}
-
 boost::system::error_code startListening(UpstreamServer& server)
 {
     boost::system::error_code error;
-    const boost::asio::ip::tcp::endpoint endpoint = endpointFrom(server.options.listen, error);
+    const boost::asio::ip::tcp::endpoint endpoint = Journal::endpointFrom(server.options.listen, error);
     if (!error)
         server.acceptor.open(endpoint.protocol(), error);
     if (!error)
