--- /dev/null
+++ b/tests/auto/standins/tst_upstreamcontract.cpp
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
--- a/tests/standins/upstream/lease.cpp
+++ b/tests/standins/upstream/lease.cpp
@@ -29,8 +29,10 @@
 
 Ownership::HolderAnswer takeGrant(UpstreamServer& server, const Ownership::GrantRequest& grant)
 {
-    Ownership::HolderAnswer answer = Ownership::applyGrant(server.holder, grant, holderClock(server));
+    const ClockSample now = sampleClocks(server);
+    Ownership::HolderAnswer answer = Ownership::applyGrant(server.holder, grant, now.holder);
     Journal::UpstreamRow row = newRow(server, Journal::UpstreamEvent::GrantAccepted);
+    row.at = now.wall;
     row.level = grant.level;
     if (answer.verdict != Ownership::HolderVerdict::Accepted) {
         row.event = Journal::UpstreamEvent::Refused;
@@ -39,7 +41,7 @@
         return answer;
     }
     row.shards = grant.shards;
-    row.until = row.at + (grant.expiresAt - answer.clock);
+    row.until = now.wall + (grant.expiresAt - now.holder);
     record(server, row);
     Internal::watchLeaseEnd(server);
     return answer;
--- a/tests/standins/upstream/upstreamserver.cpp
+++ b/tests/standins/upstream/upstreamserver.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::uint64_t incarnationMask = 0x7fffffffffffffffULL;
 constexpr std::int64_t largestClockOffset = 1'000'000'000'000;
+/// Two readings further apart than this were interrupted and are taken again.
+constexpr std::int64_t longestReading = 100;
 
 Utils::Incarnation freshIncarnation(std::random_device& device)
 {
@@ -39,6 +41,16 @@
     return Utils::monotonicNow().time_since_epoch().count() + server.clockOffset;
 }
 
+ClockSample sampleClocks(const UpstreamServer& server)
+{
+    ClockSample sample;
+    do {
+        sample.holder = holderClock(server);
+        sample.wall = Journal::wallClockMicroseconds();
+    } while (holderClock(server) - sample.holder > Internal::longestReading);
+    return sample;
+}
+
 Journal::UpstreamRow newRow(const UpstreamServer& server, Journal::UpstreamEvent event)
 {
     Journal::UpstreamRow row;
--- a/tests/standins/upstream/upstreamserver.h
+++ b/tests/standins/upstream/upstreamserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <standins/upstream/clocksample.h>
 #include <standins/upstream/connectionid.h>
 #include <standins/upstream/faultsettings.h>
 #include <standins/upstream/health.h>
@@ -49,6 +50,9 @@
 /// The holder's clock in microseconds.
 std::int64_t holderClock(const UpstreamServer& server);
 
+/// The holder's clock and the wall clock at the same moment.
+ClockSample sampleClocks(const UpstreamServer& server);
+
 /// A row of the journal with the upstream's part filled in.
 Journal::UpstreamRow newRow(const UpstreamServer& server, Journal::UpstreamEvent event);
 
