Add the platform clients and stand-ins for the log and the VM list

Each call to the platform uses a connection of its own and a total timeout, so a connection gone silent can't hold up the next call. The stand-ins keep their faults as a table and the contract tests bring each of them about over loopback.

--- /dev/null
+++ b/src/libs/platform/appendanswer.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <utils/ids.h>
+
+namespace Platform {
+
+/// Where the log put a record.
+struct AppendAnswer {
+    Utils::Offset offset = 0;
+
+    bool operator==(const AppendAnswer&) const = default;
+};
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/platform/endpoint.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Platform {
+
+/// Where a service of the platform listens.
+struct Endpoint {
+    /// IP number.
+    std::string address;
+    std::uint16_t port = 0;
+
+    bool operator==(const Endpoint&) const = default;
+};
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/platform/httpstatus.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace Platform {
+
+/// The status of an answer, next to an error.
+struct HttpStatus {
+    unsigned value = 0;
+};
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/platform/httpstatuscodes.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace Platform::Internal {
+
+inline constexpr unsigned statusOk = 200;
+inline constexpr unsigned statusGone = 410;
+inline constexpr unsigned statusTooLarge = 413;
+inline constexpr unsigned statusUnavailable = 503;
+
+} // namespace Platform::Internal
--- /dev/null
+++ b/src/libs/platform/keptrange.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <utils/ids.h>
+
+namespace Platform {
+
+/// What the log keeps.
+struct KeptRange {
+    /// Oldest offset kept.
+    Utils::Offset first = 0;
+    /// Next offset to be given.
+    Utils::Offset end = 0;
+
+    bool operator==(const KeptRange&) const = default;
+};
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/platform/vmstate.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <utils/enumtable.h>
+
+#include <array>
+
+namespace Platform {
+
+/// What the platform says of a VM.
+enum class VmState { Live, Leaving };
+
+inline constexpr std::array<Utils::EnumName<VmState>, 2> vmStateNames { {
+    { VmState::Live, "live" },
+    { VmState::Leaving, "leaving" },
+} };
+
+} // namespace Platform
--- /dev/null
+++ b/tests/auto/platform/tst_vmlistclient.cpp
@@ -0,0 +1,80 @@
+#include "platformfixture.h"
+
+#include <platform/vmlistclient.h>
+#include <standins/support/backgroundserver.h>
+#include <standins/vmlist/vmlistservice.h>
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace std::chrono_literals;
+using PlatformFixture::outcomeOf;
+
+const std::string listText = R"({"vms":[
+    {"name":"west-1-a","zone":"west-1","region":"west","address":"127.1.1.11","caller_port":8080,"peer_port":8081,
+     "state":"live"},
+    {"name":"west-2-a","zone":"west-2","region":"west","address":"127.1.2.11","caller_port":8080,"peer_port":8081,
+     "state":"leaving"}]})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("the list is read whole", "[vmlistclient]")
+{
+    StandInVmList::VmListService service;
+    REQUIRE(StandInVmList::loadEntries(service, listText));
+    StandInSupport::BackgroundServer server(StandInVmList::handlerOf(service));
+    const boost::leaf::result<std::vector<Platform::VmEntry>> vms
+        = Platform::listVms({ "127.0.0.1", server.port() }, 2s);
+    REQUIRE(vms.has_value());
+    REQUIRE(vms->size() == 2);
+    const Platform::VmEntry first { Utils::VmId { "west-1-a" }, Utils::ZoneId { "west-1" },
+        Utils::RegionId { "west" }, "127.1.1.11", 8080, 8081, Platform::VmState::Live };
+    REQUIRE(vms->front() == first);
+    REQUIRE(vms->back().state == Platform::VmState::Leaving);
+}
+
+TEST_CASE("faults of the list are told apart", "[vmlistclient]")
+{
+    struct Row {
+        std::string name;
+        std::uint64_t StandInVmList::VmListFaults::*fault;
+        std::uint64_t value;
+        std::string outcome;
+    };
+    using Faults = StandInVmList::VmListFaults;
+    const Row row = GENERATE(values<Row>({
+        { "outage", &Faults::outage, 1, "unavailable" },
+        { "slow", &Faults::slowMs, 5000, "timeout" },
+        { "malformed", &Faults::malformedNext, 1, "malformed" },
+        { "truncated", &Faults::truncateNext, 1, "malformed" },
+        { "over-long", &Faults::overlongNext, 1, "answer_too_large" },
+    }));
+    INFO(row.name);
+    StandInVmList::VmListService service;
+    service.faults.*row.fault = row.value;
+    StandInSupport::BackgroundServer server(StandInVmList::handlerOf(service));
+    REQUIRE(outcomeOf([&] {
+        return Platform::listVms({ "127.0.0.1", server.port() }, 300ms);
+    }) == row.outcome);
+}
+
+TEST_CASE("an entry outside the contract makes the list malformed", "[vmlistclient]")
+{
+    const std::string text = GENERATE(replaced(listText, "\"name\":\"west-1-a\",", ""),
+        replaced(listText, "west-1-a", ""), replaced(listText, "west-1-a", "west-2-a"),
+        replaced(listText, "127.1.1.11", "host.example"), replaced(listText, "8080", "0"),
+        replaced(listText, "8081", "65536"), replaced(listText, "8081", "\"8081\""),
+        replaced(listText, "\"live\"", "\"dead\""), R"({"vms":[1]})", R"({"vms":{}})", "[]", "");
+    INFO(text);
+    StandInSupport::BackgroundServer server(
+        [&](StandInSupport::HttpRequest) -> boost::asio::awaitable<StandInSupport::HttpReply> {
+            co_return StandInSupport::HttpReply { 200, text };
+        });
+    REQUIRE(outcomeOf([&] { return Platform::listVms({ "127.0.0.1", server.port() }, 2s); }) == "malformed");
+}
--- /dev/null
+++ b/tests/standins/support/httpserver.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <standins/support/httphandler.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/system/error_code.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace StandInSupport {
+
+/// A small HTTP server on the thread that runs its context.
+struct HttpServer {
+    explicit HttpServer(boost::asio::io_context& context)
+        : acceptor(context)
+    {
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor;
+    HttpHandler handler;
+};
+
+/// Listens on \a listen, "IP:PORT" with port 0 for any, and answers with \a handler until the context stops.
+boost::system::error_code startServing(HttpServer& server, const std::string& listen, HttpHandler handler);
+
+/// The port that the server listens on.
+std::uint16_t portOf(const HttpServer& server);
+
+} // namespace StandInSupport
--- /dev/null
+++ b/tests/standins/vmlist/vmlistservice.cpp
@@ -0,0 +1,116 @@
+#include <standins/vmlist/vmlistservice.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <string_view>
+
+namespace StandInVmList {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using Clock = std::chrono::steady_clock;
+using StandInSupport::HttpReply;
+using StandInSupport::HttpRequest;
+
+namespace {
+
+constexpr std::string_view entryPath = "/vms/";
+constexpr std::size_t overlongBytes = std::size_t(9) << 20;
+
+void showDueChanges(VmListService& service, Clock::time_point now)
+{
+    while (!service.changes.empty() && service.changes.front().showsAt <= now) {
+        const VmChange& change = service.changes.front();
+        if (change.entry)
+            service.entries[change.name] = *change.entry;
+        else
+            service.entries.erase(change.name);
+        service.changes.pop_front();
+    }
+}
+
+HttpReply showList(VmListService& service)
+{
+    showDueChanges(service, Clock::now());
+    json::array vms;
+    for (const std::pair<const std::string, json::object>& entry : service.entries)
+        vms.emplace_back(entry.second);
+    HttpReply reply { 200, json::serialize(json::object { { "vms", std::move(vms) } }) };
+    if (StandInSupport::takeOne(service.faults.malformedNext))
+        reply.body = "{\"vms\":";
+    if (StandInSupport::takeOne(service.faults.overlongNext))
+        reply.body = std::string(overlongBytes, ' ');
+    reply.truncate = StandInSupport::takeOne(service.faults.truncateNext);
+    return reply;
+}
+
+HttpReply changeEntry(VmListService& service, const std::string& name, const HttpRequest& request)
+{
+    VmChange change { Clock::now() + std::chrono::milliseconds(service.faults.lagMs), name, std::nullopt };
+    if (request.method == "POST") {
+        json::error_code failure;
+        const json::value value = json::parse(request.body, failure);
+        if (failure || !value.is_object())
+            return { 400, "{}" };
+        change.entry = value.get_object();
+        (*change.entry)["name"] = name;
+    } else if (request.method != "DELETE") {
+        return { 405, "{}" };
+    }
+    service.changes.push_back(std::move(change));
+    return { 200, "{}" };
+}
+
+HttpReply serveFaults(VmListService& service, const HttpRequest& request)
+{
+    if (request.method == "POST"
+        && !StandInSupport::setFaults(service.faults, vmListFaultTable, request.body))
+        return { 400, "{}" };
+    return { 200, StandInSupport::showFaults(service.faults, vmListFaultTable) };
+}
+
+asio::awaitable<HttpReply> serve(VmListService& service, HttpRequest request)
+{
+    if (request.path == "/faults")
+        co_return serveFaults(service, request);
+    if (request.path.starts_with(entryPath) && request.path.size() > entryPath.size())
+        co_return changeEntry(service, request.path.substr(entryPath.size()), request);
+    if (request.path != "/vms" || request.method != "GET")
+        co_return HttpReply { 404, "{}" };
+    if (service.faults.slowMs > 0) {
+        asio::steady_timer timer(
+            co_await asio::this_coro::executor, std::chrono::milliseconds(service.faults.slowMs));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    if (service.faults.outage != 0)
+        co_return HttpReply { 503, "{}" };
+    co_return showList(service);
+}
+
+} // namespace
+
+bool loadEntries(VmListService& service, const std::string& text)
+{
+    json::error_code failure;
+    const json::value value = json::parse(text, failure);
+    const json::object* const object = failure ? nullptr : value.if_object();
+    const json::value* const vms = object ? object->if_contains("vms") : nullptr;
+    if (!vms || !vms->is_array())
+        return false;
+    for (const json::value& entry : vms->get_array()) {
+        const json::value* const name = entry.is_object() ? entry.get_object().if_contains("name") : nullptr;
+        if (!name || !name->is_string())
+            return false;
+        service.entries[std::string(name->get_string())] = entry.get_object();
+    }
+    return true;
+}
+
+StandInSupport::HttpHandler handlerOf(VmListService& service)
+{
+    return [&service](HttpRequest request) { return serve(service, std::move(request)); };
+}
+
+} // namespace StandInVmList
