--- a/src/libs/gateway/datagrams.cpp
+++ b/src/libs/gateway/datagrams.cpp
@@ -69,7 +69,7 @@
         if (dispatches || entry.second.successor == state.self)
             partners.insert(dispatches ? entry.second.successor.vm : entry.second.dispatcher.vm);
     }
-    partners.erase({});
+    partners.erase(Utils::VmId {});
     return partners;
 }
 
