Bound queues by the rank's target while a backlog stands, else by half of the time limit

Queues were bounded by deadlines alone, so that a flood filled them and work was held until shortly before its deadline. The share of a rank is now measured as slot time taken.

--- a/src/libs/dispatch/admission.cpp
+++ b/src/libs/dispatch/admission.cpp
@@ -61,7 +61,7 @@
         return answer(work, Reason::QueueFull, comeBack(state, upstream, rank, work.id, now));
     const Utils::Duration wait = expectedWait(state, upstream, rank, ahead, now);
     const Utils::Duration service = expectedService(upstream, rank, now);
-    if (now + wait + service <= work.deadline)
+    if (wait + service <= admissionBound(state, upstream, rank, work, now))
         return std::nullopt;
     if (isIdle(upstream, rank) && upstream.pausedUntil <= now)
         return std::nullopt;
@@ -75,7 +75,7 @@
     if (lane.size > state.options.caps.queuedPerRank)
         return true;
     const Utils::Duration wait = expectedWait(state, upstream, last.rank, lane.size - 1, now);
-    return now + wait > last.giveUpAt;
+    return wait > admissionBound(state, upstream, last.rank, last.work, now);
 }
 
 } // namespace
--- a/src/libs/dispatch/capacity.cpp
+++ b/src/libs/dispatch/capacity.cpp
@@ -131,6 +131,18 @@
     return wait + std::max(upstream.pausedUntil - now, Utils::Duration(0));
 }
 
+Utils::Duration admissionBound(const DispatchState& state, const UpstreamState& upstream, std::size_t rank,
+    const Requests::Work& work, Utils::Instant now)
+{
+    const Utils::Duration half = (work.deadline - now) / 2;
+    const Utils::Duration target = state.ranks[rank].target;
+    const Lane& lane = upstream.lanes[rank];
+    if (target.count() == 0 || lane.size == 0)
+        return half;
+    const bool isStanding = now - lane.backlogSince > standingBacklogTargets * target;
+    return isStanding ? std::min(half, target) : half;
+}
+
 Utils::Duration comeBack(const DispatchState& state, UpstreamState& upstream, std::size_t rank,
     Requests::WorkId work, Utils::Instant now)
 {
--- a/src/libs/dispatch/queueing.cpp
+++ b/src/libs/dispatch/queueing.cpp
@@ -54,8 +54,9 @@
         setGiveUp(state, entry, end, unusableReason(upstream));
         return;
     }
-    const Utils::Duration service = expectedService(upstream, entry.rank, now);
-    setGiveUp(state, entry, entry.work.deadline - service, Reason::DeadlinePassed);
+    const Utils::Instant half = now + (entry.work.deadline - now) / 2;
+    const Utils::Instant latest = entry.work.deadline - expectedService(upstream, entry.rank, now);
+    setGiveUp(state, entry, std::min(half, latest), Reason::DeadlinePassed);
 }
 
 /// Works that wait for an unusable upstream already keep their time.
@@ -118,6 +119,8 @@
     entry.phase = WorkPhase::Queued;
     entry.upstream = upstream->declared.id;
     Lane& lane = upstream->lanes.at(entry.rank);
+    if (lane.size == 0)
+        lane.backlogSince = now;
     if (front)
         pushFront(lane, entry.work.caller, entry.work.id);
     else
--- a/src/tools/measureservice/rankreport.h
+++ b/src/tools/measureservice/rankreport.h
@@ -21,8 +21,10 @@
     std::vector<Utils::Duration> latencies;
     /// From arrival to answer, of the requests not run.
     std::vector<Utils::Duration> refusals;
-    /// Slot time that upstreams spent on the rank.
+    /// Slot time that upstreams worked for the rank.
     Utils::Duration slotTime {};
+    /// Slot time that the rank's works took, from the sending to the result.
+    Utils::Duration takenTime {};
 };
 
 } // namespace Measure
--- a/src/tools/measureservice/servicereport.cpp
+++ b/src/tools/measureservice/servicereport.cpp
@@ -18,10 +18,11 @@
     const std::map<Utils::RankId, RankReport>::const_iterator found = report.ranks.find(rank);
     if (found == report.ranks.end())
         return 0;
-    return static_cast<double>(found->second.slotTime.count()) / static_cast<double>(report.slotTime.count());
+    return static_cast<double>(found->second.takenTime.count())
+        / static_cast<double>(report.slotTime.count());
 }
 
-double slotsWorking(const ServiceReport& report)
+double slotsBusy(const ServiceReport& report)
 {
     double busy = 0;
     for (const std::pair<const Utils::RankId, RankReport>& rank : report.ranks)
@@ -29,9 +30,12 @@
     return busy;
 }
 
-double slotsBusy(const ServiceReport& report)
+double slotsWorking(const ServiceReport& report)
 {
-    return static_cast<double>(report.takenTime.count()) / static_cast<double>(report.slotTime.count());
+    Utils::Duration working {};
+    for (const std::pair<const Utils::RankId, RankReport>& rank : report.ranks)
+        working += rank.second.slotTime;
+    return static_cast<double>(working.count()) / static_cast<double>(report.slotTime.count());
 }
 
 } // namespace Measure
--- a/src/tools/measureservice/servicereport.h
+++ b/src/tools/measureservice/servicereport.h
@@ -15,8 +15,6 @@
     std::map<Utils::RankId, RankReport> ranks;
     /// Slot time that there was.
     Utils::Duration slotTime {};
-    /// Slot time that whoever sends to the upstreams counted as taken, from the sending to the result.
-    Utils::Duration takenTime {};
     /// Works sent to upstreams, and the distinct requests among them.
     std::uint64_t sent = 0;
     std::uint64_t sentRequests = 0;
@@ -37,7 +35,7 @@
 /// than there are slots.
 double slotsBusy(const ServiceReport& report);
 
-/// Part of the slot time that the rank used, 0..1.
+/// Part of the slot time that the rank's works took, their way there and back included.
 double slotShare(const ServiceReport& report, const Utils::RankId& rank);
 
 } // namespace Measure
--- a/src/tools/measureservice/simulation.cpp
+++ b/src/tools/measureservice/simulation.cpp
@@ -233,10 +233,12 @@
     if (found == sim.started.end())
         return;
     const unsigned upstream = found->second.upstream;
-    sim.report.takenTime += measuredSince(sim, found->second.sentAt);
+    const Utils::Duration taken = measuredSince(sim, found->second.sentAt);
     sim.started.erase(found);
     const std::uint64_t number = requestOf(work);
-    const unsigned entry = sim.requests.at(number).entry;
+    const Request& request = sim.requests.at(number);
+    const unsigned entry = request.entry;
+    rankReport(sim, request).takenTime += taken;
     const std::vector<Action> actions = routerFinished(sim, work, entry, upstream, result);
     if (result.kind == WorkResultKind::Done)
         at(sim, sim.now + hopToDispatcher(sim), [&sim, number] { answerDone(sim, number); });
