Serve the callers of a rank in deficit round robin

Serving the least used caller first let every caller that came in overtake those that had just been served, for as long as new ones came: the wait that a work was let in with was not the wait that it had.

--- a/src/libs/dispatch/callerqueue.h
+++ b/src/libs/dispatch/callerqueue.h
@@ -12,8 +12,8 @@
     std::deque<Requests::WorkId> works;
     /// Its works of this lane that run.
     unsigned running = 0;
-    /// The caller's virtual time: service time it was charged, on the lane's scale.
-    Utils::Duration used {};
+    /// Service time that it had beyond its turns; it passes turns until that is paid off.
+    Utils::Duration debt {};
 };
 
 } // namespace Dispatch
--- a/src/libs/dispatch/capacity.cpp
+++ b/src/libs/dispatch/capacity.cpp
@@ -102,7 +102,7 @@
 {
     const std::map<std::string, CallerQueue>::const_iterator found = lane.callers.find(caller);
     const std::size_t own = found == lane.callers.end() ? 0 : found->second.works.size();
-    const std::size_t others = lane.order.size() - (own > 0 ? 1 : 0);
+    const std::size_t others = lane.turns.size() - (own > 0 ? 1 : 0);
     return std::min(lane.size, own + (own + 1) * others);
 }
 
--- a/src/libs/dispatch/lane.h
+++ b/src/libs/dispatch/lane.h
@@ -5,10 +5,9 @@
 #include <utils/time.h>
 
 #include <cstddef>
+#include <deque>
 #include <map>
-#include <set>
 #include <string>
-#include <utility>
 
 namespace Dispatch {
 
@@ -16,10 +15,8 @@
 struct Lane {
     /// Callers with queued or running works.
     std::map<std::string, CallerQueue> callers;
-    /// The callers with queued works by virtual time; the first is served next.
-    std::set<std::pair<Utils::Duration, std::string>> order;
-    /// Virtual time of the caller served last.
-    Utils::Duration virtualTime {};
+    /// The callers with queued works in the order of their turns.
+    std::deque<std::string> turns;
     /// Works queued.
     std::size_t size = 0;
     /// Works running.
--- a/src/libs/dispatch/lanes.cpp
+++ b/src/libs/dispatch/lanes.cpp
@@ -7,32 +7,13 @@
 
 namespace {
 
-/// The caller's queue, which is about to hold a work. A caller that had none starts level with the others.
-CallerQueue& queueOf(Lane& lane, const std::string& caller)
-{
-    CallerQueue& queue = lane.callers[caller];
-    if (!queue.works.empty())
-        return queue;
-    queue.used = std::max(queue.used, lane.virtualTime);
-    lane.order.emplace(queue.used, caller);
-    return queue;
-}
-
-void charge(Lane& lane, const std::string& caller, CallerQueue& queue, Utils::Duration time)
-{
-    const bool isOrdered = lane.order.erase({ queue.used, caller }) > 0;
-    queue.used += time;
-    if (isOrdered)
-        lane.order.emplace(queue.used, caller);
-}
+/// Most turns that a caller passes in a row.
+constexpr int maxPassedTurns = 8;
 
 void dropIfIdle(Lane& lane, const std::string& caller)
 {
     const std::map<std::string, CallerQueue>::iterator found = lane.callers.find(caller);
-    if (!found->second.works.empty())
-        return;
-    lane.order.erase({ found->second.used, caller });
-    if (found->second.running == 0)
+    if (found->second.works.empty() && found->second.running == 0)
         lane.callers.erase(found);
 }
 
@@ -40,31 +21,47 @@
 
 void pushBack(Lane& lane, const std::string& caller, Requests::WorkId work)
 {
-    queueOf(lane, caller).works.push_back(work);
+    CallerQueue& queue = lane.callers[caller];
+    if (queue.works.empty())
+        lane.turns.push_back(caller);
+    queue.works.push_back(work);
     ++lane.size;
 }
 
 void pushFront(Lane& lane, const std::string& caller, Requests::WorkId work)
 {
-    queueOf(lane, caller).works.push_front(work);
+    CallerQueue& queue = lane.callers[caller];
+    if (!queue.works.empty())
+        lane.turns.erase(std::find(lane.turns.begin(), lane.turns.end(), caller));
+    lane.turns.push_front(caller);
+    queue.works.push_front(work);
     ++lane.size;
 }
 
-Requests::WorkId nextOf(const Lane& lane)
+Requests::WorkId nextOf(Lane& lane, Utils::Duration quantum)
 {
-    return lane.callers.at(lane.order.begin()->second).works.front();
+    for (;;) {
+        const std::string caller = lane.turns.front();
+        CallerQueue& queue = lane.callers.at(caller);
+        queue.debt = std::min(queue.debt, maxPassedTurns * quantum);
+        if (queue.debt < quantum)
+            return queue.works.front();
+        queue.debt -= quantum;
+        lane.turns.pop_front();
+        lane.turns.push_back(caller);
+    }
 }
 
-void popNext(Lane& lane, Utils::Duration time)
+void popNext(Lane& lane)
 {
-    const std::string caller = lane.order.begin()->second;
-    lane.virtualTime = std::max(lane.virtualTime, lane.order.begin()->first);
+    const std::string caller = lane.turns.front();
     CallerQueue& queue = lane.callers.at(caller);
     queue.works.pop_front();
     ++queue.running;
     --lane.size;
-    charge(lane, caller, queue, time);
-    dropIfIdle(lane, caller);
+    lane.turns.pop_front();
+    if (!queue.works.empty())
+        lane.turns.push_back(caller);
 }
 
 void eraseFrom(Lane& lane, const std::string& caller, Requests::WorkId work)
@@ -72,16 +69,18 @@
     std::deque<Requests::WorkId>& works = lane.callers.at(caller).works;
     works.erase(std::find(works.begin(), works.end(), work));
     --lane.size;
+    if (works.empty())
+        lane.turns.erase(std::find(lane.turns.begin(), lane.turns.end(), caller));
     dropIfIdle(lane, caller);
 }
 
-void settleCaller(Lane& lane, const std::string& caller, Utils::Duration correction)
+void settleCaller(Lane& lane, const std::string& caller, Utils::Duration excess)
 {
     const std::map<std::string, CallerQueue>::iterator found = lane.callers.find(caller);
     if (found == lane.callers.end() || found->second.running == 0)
         return;
     --found->second.running;
-    charge(lane, caller, found->second, correction);
+    found->second.debt = std::max(found->second.debt + excess, Utils::Duration(0));
     dropIfIdle(lane, caller);
 }
 
--- a/src/libs/dispatch/lanes.h
+++ b/src/libs/dispatch/lanes.h
@@ -6,26 +6,30 @@
 
 #include <string>
 
-/// Fair queueing between the callers of one lane: the caller that has had least service time is served next.
+/// Deficit round robin between the callers of one lane. A caller that comes in goes behind those that are
+/// there, so that nobody is overtaken by more than one round; one that used more than its turns' service time
+/// passes turns.
 namespace Dispatch::Internal {
 
 /// Queues the work behind its caller's others.
 void pushBack(Lane& lane, const std::string& caller, Requests::WorkId work);
 
-/// Queues the work before its caller's others.
+/// Queues the work before its caller's others, and gives its caller the next turn.
 void pushFront(Lane& lane, const std::string& caller, Requests::WorkId work);
 
-/// The work to be served next; the lane must not be empty.
-Requests::WorkId nextOf(const Lane& lane);
+/// The work whose turn it is; the lane must not be empty. Callers in debt pass their turns, each worth \a
+/// quantum.
+Requests::WorkId nextOf(Lane& lane, Utils::Duration quantum);
 
-/// Takes the next work out to be run, and charges its caller.
-void popNext(Lane& lane, Utils::Duration time);
+/// Takes the work that \c nextOf gave out to be run, which uses its caller's turn.
+void popNext(Lane& lane);
 
 /// Takes a work out, wherever it stands.
 void eraseFrom(Lane& lane, const std::string& caller, Requests::WorkId work);
 
-/// A work of the caller runs no longer; corrects what it was charged.
-void settleCaller(Lane& lane, const std::string& caller, Utils::Duration correction);
+/// A work of the caller runs no longer, after \a excess of service time over its turn; less than none is not
+/// credited beyond paying off a debt.
+void settleCaller(Lane& lane, const std::string& caller, Utils::Duration excess);
 
 /// The caller with the most works queued; the lane must not be empty.
 const std::string& longestCaller(const Lane& lane);
--- a/src/libs/dispatch/results.cpp
+++ b/src/libs/dispatch/results.cpp
@@ -37,7 +37,7 @@
     --lane.running;
     upstream.running.erase(entry.work.id);
     upstream.isolating = false;
-    Internal::settleCaller(lane, entry.work.caller, serviceTime - entry.charged);
+    Internal::settleCaller(lane, entry.work.caller, serviceTime - entry.turn);
 }
 
 void finishDone(DispatchState& state, UpstreamState& upstream, const WorkEntry& entry,
--- a/src/libs/dispatch/scheduling.cpp
+++ b/src/libs/dispatch/scheduling.cpp
@@ -60,8 +60,8 @@
     std::vector<Action>& actions)
 {
     Lane& lane = upstream.lanes.at(entry.rank);
-    entry.charged = expectedService(upstream, entry.rank, now);
-    popNext(lane, entry.charged);
+    entry.turn = expectedService(upstream, entry.rank, now);
+    popNext(lane);
     state.giveUps.erase({ entry.giveUpAt, entry.work.id });
     if (entry.starts == 0)
         Requests::noteFirstAttempt(state.restarts, state.ranks[entry.rank].id, now);
@@ -89,7 +89,8 @@
         const std::optional<std::size_t> rank = pickRank(state, upstream);
         if (!rank.has_value())
             return;
-        WorkEntry& entry = state.works.at(nextOf(upstream.lanes[*rank]));
+        WorkEntry& entry
+            = state.works.at(nextOf(upstream.lanes[*rank], expectedService(upstream, *rank, now)));
         const bool suspect = isSuspect(state.poison, entry.work, now);
         if (suspect && slotsTaken(upstream) > 0)
             return;
--- a/src/libs/dispatch/workentry.h
+++ b/src/libs/dispatch/workentry.h
@@ -22,8 +22,8 @@
     /// When a queued work is given up, and why.
     Utils::Instant giveUpAt {};
     Requests::Reason giveUpReason = Requests::Reason::DeadlinePassed;
-    /// Service time that its caller was charged at the start.
-    Utils::Duration charged {};
+    /// Service time that was expected of it at the start.
+    Utils::Duration turn {};
     /// Whether another work ran on the upstream at some time of this run.
     bool accompanied = false;
     bool callerLeft = false;
