Hold an overloaded rank to half of its target for as long as it refuses work

A bound of the whole target let the mean wait, not the slow tail, meet it; and an empty queue for a moment was taken for the end of the overload.

--- a/src/libs/dispatch/capacity.cpp
+++ b/src/libs/dispatch/capacity.cpp
@@ -136,11 +136,8 @@
 {
     const Utils::Duration half = (work.deadline - now) / 2;
     const Utils::Duration target = state.ranks[rank].target;
-    const Lane& lane = upstream.lanes[rank];
-    if (target.count() == 0 || lane.size == 0)
-        return half;
-    const bool isStanding = now - lane.backlogSince > standingBacklogTargets * target;
-    return isStanding ? std::min(half, target) : half;
+    const bool isOverloaded = now < upstream.lanes[rank].overloadedUntil;
+    return isOverloaded && target.count() > 0 ? std::min(half, target / 2) : half;
 }
 
 Utils::Duration comeBack(const DispatchState& state, UpstreamState& upstream, std::size_t rank,
@@ -152,6 +149,7 @@
     const Utils::Instant backlogEnd = now + expectedWait(state, upstream, rank, lane.size, now);
     const Utils::Instant latest = now + state.options.caps.maxRetryAfter;
     lane.nextReturn = std::min(std::max(lane.nextReturn + step, backlogEnd), latest);
+    lane.overloadedUntil = now + overloadTargets * state.ranks[rank].target;
     return spread(std::max(lane.nextReturn - now, minRetryAfter), work);
 }
 
--- a/src/libs/dispatch/capacity.h
+++ b/src/libs/dispatch/capacity.h
@@ -32,12 +32,13 @@
     std::size_t ahead, Utils::Instant now);
 
 /// How long a work of the rank may be expected to take from arrival to answer for it to be let in: half of
-/// its time limit, or the rank's target while there is a standing backlog.
+/// its time limit, or half of the rank's target while the rank is overloaded. The other half is for what is
+/// not as expected.
 Utils::Duration admissionBound(const DispatchState& state, const UpstreamState& upstream, std::size_t rank,
     const Requests::Work& work, Utils::Instant now);
 
-/// When a caller that is refused now should come back: refused callers are given times one after another, at
-/// the rate at which the rank is served.
+/// Notes that the rank is overloaded; when a caller that is refused now should come back: refused callers are
+/// given times one after another, at the rate at which the rank is served.
 Utils::Duration comeBack(const DispatchState& state, UpstreamState& upstream, std::size_t rank,
     Requests::WorkId work, Utils::Instant now);
 
--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -24,8 +24,8 @@
 inline constexpr Utils::Duration reportLag = std::chrono::seconds(1);
 /// When a caller should come back whose work found no owner or no usable upstream.
 inline constexpr Utils::Duration unservedRetryAfter = std::chrono::milliseconds(500);
-/// A backlog is standing after this many of the rank's targets.
-inline constexpr int standingBacklogTargets = 2;
+/// A rank counts as overloaded for this many of its targets after a work was refused because of the queue.
+inline constexpr int overloadTargets = 2;
 /// Shortest time that a caller is told to stay away.
 inline constexpr Utils::Duration minRetryAfter = std::chrono::milliseconds(10);
 /// Smallest share of the slots that a rank is believed to get.
--- a/src/libs/dispatch/lane.h
+++ b/src/libs/dispatch/lane.h
@@ -21,8 +21,8 @@
     std::size_t size = 0;
     /// Works running.
     unsigned running = 0;
-    /// Since when there have always been works queued; means nothing while there are none.
-    Utils::Instant backlogSince {};
+    /// Until when the rank counts as overloaded, after a work was refused because of the queue.
+    Utils::Instant overloadedUntil {};
     /// Slot time that the rank's floor is owed; negative when it had more.
     Utils::Duration floorCredit {};
     /// Share of the slots that the rank used lately, 0..1.
--- a/src/libs/dispatch/queueing.cpp
+++ b/src/libs/dispatch/queueing.cpp
@@ -119,8 +119,6 @@
     entry.phase = WorkPhase::Queued;
     entry.upstream = upstream->declared.id;
     Lane& lane = upstream->lanes.at(entry.rank);
-    if (lane.size == 0)
-        lane.backlogSince = now;
     if (front)
         pushFront(lane, entry.work.caller, entry.work.id);
     else
