Let a slow upstream's queue hold a few services, however long they are

Half of the target was less than one service of a slow upstream, so that an overloaded rank was refused there altogether. measure.sh service, seeds 1 and 2, slow_upstream: urgent kept 0.77 -> 0.94 and 0.75 -> 0.93; floods unchanged (urgent p99 46.8 and 47.3 ms).

--- a/src/libs/dispatch/capacity.cpp
+++ b/src/libs/dispatch/capacity.cpp
@@ -137,7 +137,10 @@
     const Utils::Duration half = (work.deadline - now) / 2;
     const Utils::Duration target = state.ranks[rank].target;
     const bool isOverloaded = now < upstream.lanes[rank].overloadedUntil;
-    return isOverloaded && target.count() > 0 ? std::min(half, target / 2) : half;
+    if (!isOverloaded || target.count() == 0)
+        return half;
+    const Utils::Duration least = minBoundServices * expectedService(upstream, rank, now);
+    return std::min(half, std::max(target / 2, least));
 }
 
 Utils::Duration comeBack(const DispatchState& state, UpstreamState& upstream, std::size_t rank,
--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -26,6 +26,8 @@
 inline constexpr Utils::Duration unservedRetryAfter = std::chrono::milliseconds(500);
 /// A rank counts as overloaded for this many of its targets after a work was refused because of the queue.
 inline constexpr int overloadTargets = 2;
+/// A queue takes at least work that is answered within this many service times, however slow the upstream is.
+inline constexpr int minBoundServices = 3;
 /// Shortest time that a caller is told to stay away.
 inline constexpr Utils::Duration minRetryAfter = std::chrono::milliseconds(10);
 /// Smallest share of the slots that a rank is believed to get.
