Hold a shedding upstream to what it runs when it refuses

After each refusal the upstream was left alone for its Retry-After, tried with one work and then given all its slots again, which it refused at once.

--- a/src/libs/dispatch/capacity.cpp
+++ b/src/libs/dispatch/capacity.cpp
@@ -56,7 +56,8 @@
 {
     if (upstream.warmupsLeft > 0)
         return 1;
-    return std::min(upstream.declared.slots, upstream.declared.connections);
+    const std::size_t slots = std::min(upstream.declared.slots, upstream.declared.connections);
+    return std::min(slots, upstream.shedLimit.value_or(slots));
 }
 
 std::size_t slotsTaken(const UpstreamState& upstream)
--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -18,6 +18,10 @@
 inline constexpr Utils::Duration firstUpstreamBackoff = std::chrono::milliseconds(20);
 /// Longest wait after a refusal by an upstream.
 inline constexpr Utils::Duration maxUpstreamBackoff = std::chrono::seconds(2);
+/// Completions after which a shedding upstream is first tried with one more work at a time.
+inline constexpr unsigned firstRaiseAfter = 16;
+/// Most completions before that.
+inline constexpr unsigned maxRaiseAfter = 1024;
 /// Completions that a cold upstream has to give one at a time.
 inline constexpr unsigned coldCompletions = 4;
 /// Time after a completion for which a report of shedding is not believed.
--- a/src/libs/dispatch/results.cpp
+++ b/src/libs/dispatch/results.cpp
@@ -69,7 +69,9 @@
 void finishNotRun(DispatchState& state, UpstreamState& upstream, WorkEntry& entry, const WorkResult& result,
     Utils::Instant now, std::vector<Action>& actions)
 {
-    if (isUpstreamRefusal(result.reason))
+    if (result.reason == Reason::UpstreamShedding)
+        Internal::noteShedding(upstream, result.retryAfter, now);
+    else if (isUpstreamRefusal(result.reason))
         Internal::noteRefusal(upstream, result.retryAfter, now);
     if (mayRestart(state, upstream, entry, result.reason, now)) {
         Internal::enqueue(state, entry, true, now, actions);
--- a/src/libs/dispatch/upstreams.cpp
+++ b/src/libs/dispatch/upstreams.cpp
@@ -6,10 +6,30 @@
 
 namespace Dispatch::Internal {
 
+namespace {
+
+void raiseShedLimit(UpstreamState& upstream)
+{
+    if (!upstream.shedLimit.has_value())
+        return;
+    ++upstream.completionsAtLimit;
+    if (upstream.completionsAtLimit < upstream.raiseAfter)
+        return;
+    upstream.completionsAtLimit = 0;
+    ++*upstream.shedLimit;
+    if (*upstream.shedLimit <= upstream.declared.slots)
+        return;
+    upstream.shedLimit.reset();
+    upstream.raiseAfter = 0;
+}
+
+} // namespace
+
 void noteCompletion(UpstreamState& upstream, Utils::Instant now)
 {
     upstream.completedAt = now;
     upstream.refusals = 0;
+    raiseShedLimit(upstream);
     if (upstream.warmupsLeft > 0)
         --upstream.warmupsLeft;
     const bool settled = upstream.warmupsLeft == 0
@@ -32,4 +52,15 @@
     upstream.warmupsLeft = std::max(upstream.warmupsLeft, 1U);
 }
 
+void noteShedding(UpstreamState& upstream, Utils::Duration retryAfter, Utils::Instant now)
+{
+    if (upstream.running.empty()) {
+        noteRefusal(upstream, retryAfter, now);
+        return;
+    }
+    upstream.shedLimit = upstream.running.size();
+    upstream.completionsAtLimit = 0;
+    upstream.raiseAfter = std::clamp(2 * upstream.raiseAfter, firstRaiseAfter, maxRaiseAfter);
+}
+
 } // namespace Dispatch::Internal
--- a/src/libs/dispatch/upstreamstate.h
+++ b/src/libs/dispatch/upstreamstate.h
@@ -6,7 +6,9 @@
 #include <requests/work.h>
 #include <utils/time.h>
 
+#include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -23,6 +25,12 @@
     Utils::Instant pausedUntil {};
     /// Refusals since the last completion.
     unsigned refusals = 0;
+    /// Works that a shedding upstream was running when it refused one more; it gets no more at a time.
+    std::optional<std::size_t> shedLimit;
+    /// Completions since \c shedLimit was set or raised.
+    unsigned completionsAtLimit = 0;
+    /// Completions after which \c shedLimit is raised by one.
+    unsigned raiseAfter = 0;
     /// Completions that are due before more than one work at a time is started.
     unsigned warmupsLeft = 0;
     /// When it last completed a work.
