--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -18,12 +18,20 @@
 inline constexpr Utils::Duration firstUpstreamBackoff = std::chrono::milliseconds(20);
 /// Longest wait after a refusal by an upstream.
 inline constexpr Utils::Duration maxUpstreamBackoff = std::chrono::seconds(2);
+/// Completions after which a shedding upstream is first tried with one more work at a time.
+inline constexpr unsigned firstRaiseAfter = 16;
+/// Most completions before that.
+inline constexpr unsigned maxRaiseAfter = 1024;
 /// Completions that a cold upstream has to give one at a time.
 inline constexpr unsigned coldCompletions = 4;
 /// Time after a completion for which a report of shedding is not believed.
 inline constexpr Utils::Duration reportLag = std::chrono::seconds(1);
 /// When a caller should come back whose work found no owner or no usable upstream.
 inline constexpr Utils::Duration unservedRetryAfter = std::chrono::milliseconds(500);
+/// A rank counts as overloaded for this many of its targets after a work was refused because of the queue.
+inline constexpr int overloadTargets = 2;
+/// A queue takes at least work that is answered within this many service times, however slow the upstream is.
+inline constexpr int minBoundServices = 3;
 /// Shortest time that a caller is told to stay away.
 inline constexpr Utils::Duration minRetryAfter = std::chrono::milliseconds(10);
 /// Smallest share of the slots that a rank is believed to get.
--- a/src/libs/dispatch/lane.h
+++ b/src/libs/dispatch/lane.h
@@ -5,10 +5,9 @@
 #include <utils/time.h>
 
 #include <cstddef>
+#include <deque>
 #include <map>
-#include <set>
 #include <string>
-#include <utility>
 
 namespace Dispatch {
 
@@ -16,14 +15,14 @@
 struct Lane {
     /// Callers with queued or running works.
     std::map<std::string, CallerQueue> callers;
-    /// The callers with queued works by virtual time; the first is served next.
-    std::set<std::pair<Utils::Duration, std::string>> order;
-    /// Virtual time of the caller served last.
-    Utils::Duration virtualTime {};
+    /// The callers with queued works in the order of their turns.
+    std::deque<std::string> turns;
     /// Works queued.
     std::size_t size = 0;
     /// Works running.
     unsigned running = 0;
+    /// Until when the rank counts as overloaded, after a work was refused because of the queue.
+    Utils::Instant overloadedUntil {};
     /// Slot time that the rank's floor is owed; negative when it had more.
     Utils::Duration floorCredit {};
     /// Share of the slots that the rank used lately, 0..1.
--- a/src/libs/dispatch/results.cpp
+++ b/src/libs/dispatch/results.cpp
@@ -37,7 +37,7 @@
     --lane.running;
     upstream.running.erase(entry.work.id);
     upstream.isolating = false;
-    Internal::settleCaller(lane, entry.work.caller, serviceTime - entry.charged);
+    Internal::settleCaller(lane, entry.work.caller, serviceTime - entry.turn);
 }
 
 void finishDone(DispatchState& state, UpstreamState& upstream, const WorkEntry& entry,
@@ -69,7 +69,9 @@
 void finishNotRun(DispatchState& state, UpstreamState& upstream, WorkEntry& entry, const WorkResult& result,
     Utils::Instant now, std::vector<Action>& actions)
 {
-    if (isUpstreamRefusal(result.reason))
+    if (result.reason == Reason::UpstreamShedding)
+        Internal::noteShedding(upstream, result.retryAfter, now);
+    else if (isUpstreamRefusal(result.reason))
         Internal::noteRefusal(upstream, result.retryAfter, now);
     if (mayRestart(state, upstream, entry, result.reason, now)) {
         Internal::enqueue(state, entry, true, now, actions);
