--- a/tests/standins/caller/calleroptions.cpp
+++ b/tests/standins/caller/calleroptions.cpp
@@ -36,6 +36,8 @@
     TCLAP::ValueArg<std::string> mix("", "mix", "rank:method:service:weight[:bytes[:timeout_ms]],...", false,
         "urgent:GET:stock:1", "mix", line);
     TCLAP::ValueArg<std::uint64_t> keys("", "keys", "keys of each service", false, defaults.keys, "n", line);
+    TCLAP::MultiArg<std::string> keyPrefixes(
+        "", "key-prefix", "start of a key's name, repeated for each", false, "text", line);
     TCLAP::ValueArg<double> zipf(
         "", "zipf", "exponent of the keys' distribution, 0 for uniform", false, 0, "x", line);
     TCLAP::ValueArg<unsigned> repeats(
@@ -59,6 +61,8 @@
     options.timeout = std::chrono::milliseconds(timeout.getValue());
     options.mix = Internal::mixOrFail(line, mix);
     options.keys = keys.getValue();
+    if (keyPrefixes.isSet())
+        options.keyPrefixes = keyPrefixes.getValue();
     options.zipfExponent = zipf.getValue();
     options.repeats = repeats.getValue();
     options.connections = connections.getValue();
--- a/tests/standins/caller/calleroptions.h
+++ b/tests/standins/caller/calleroptions.h
@@ -26,6 +26,8 @@
     std::vector<MixRow> mix;
     /// Keys of each service.
     std::uint64_t keys = 1'000;
+    /// Starts of the keys' names, taken in turn.
+    std::vector<std::string> keyPrefixes { "key-" };
     /// Exponent of the keys' zipf distribution; 0 takes all alike.
     double zipfExponent = 0;
     /// Sendings after the first that a request may take.
--- a/tests/standins/caller/schedule.cpp
+++ b/tests/standins/caller/schedule.cpp
@@ -32,6 +32,11 @@
         std::min<std::ptrdiff_t>(found - sums.begin(), static_cast<std::ptrdiff_t>(sums.size()) - 1));
 }
 
+std::string keyName(const CallerOptions& options, std::uint64_t key)
+{
+    return options.keyPrefixes[key % options.keyPrefixes.size()] + std::to_string(key);
+}
+
 std::vector<double> weightsOf(const std::vector<MixRow>& mix)
 {
     std::vector<double> weights;
@@ -58,7 +63,8 @@
         PlannedRequest request;
         request.due = std::chrono::duration_cast<Utils::Duration>(due);
         request.method = row.method;
-        request.target = "/" + row.service + "/key-" + std::to_string(Internal::drawKey(sums, random));
+        request.target
+            = "/" + row.service + "/" + Internal::keyName(options, Internal::drawKey(sums, random));
         request.rank = row.rank;
         request.caller = options.name + "-" + std::to_string(caller(random));
         request.bytes = row.bytes;
