--- a/src/libs/declarations/configurationreader.cpp
+++ b/src/libs/declarations/configurationreader.cpp
@@ -7,9 +7,8 @@
 
 namespace Declarations {
 
-ReadResult readConfiguration(const std::vector<Document>& documents)
+ReadResult checkParsedSet(ParsedSet parsed)
 {
-    ParsedSet parsed = parseConfiguration(documents);
     ReadResult result;
     result.faults = std::move(parsed.faults);
     if (parsed.complete) {
@@ -21,4 +20,9 @@
     return result;
 }
 
+ReadResult readConfiguration(const std::vector<Document>& documents)
+{
+    return checkParsedSet(parseConfiguration(documents));
+}
+
 } // namespace Declarations
--- a/src/libs/declarations/configurationreader.h
+++ b/src/libs/declarations/configurationreader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <declarations/document.h>
+#include <declarations/parsedset.h>
 #include <declarations/readresult.h>
 
 #include <vector>
@@ -12,4 +13,7 @@
 /// between objects are left out, since they would report what that document may declare.
 ReadResult readConfiguration(const std::vector<Document>& documents);
 
+/// The second half of readConfiguration(), for callers that need the origins of the objects too.
+ReadResult checkParsedSet(ParsedSet parsed);
+
 } // namespace Declarations
--- a/src/libs/declarations/faultcode.h
+++ b/src/libs/declarations/faultcode.h
@@ -56,10 +56,9 @@
     ConfigurationTooLarge,
     // Against the configuration that the set would follow.
     KeyRangeReshaped,
-    KeysChangeRange,
 };
 
-inline constexpr std::array<Utils::EnumName<FaultCode>, 41> faultCodeNames { {
+inline constexpr std::array<Utils::EnumName<FaultCode>, 40> faultCodeNames { {
     { FaultCode::MalformedJson, "malformed_json" },
     { FaultCode::DocumentTooLarge, "document_too_large" },
     { FaultCode::NestingTooDeep, "nesting_too_deep" },
@@ -100,7 +99,6 @@
     { FaultCode::NoServices, "no_services" },
     { FaultCode::ConfigurationTooLarge, "configuration_too_large" },
     { FaultCode::KeyRangeReshaped, "key_range_reshaped" },
-    { FaultCode::KeysChangeRange, "keys_change_range" },
 } };
 
 } // namespace Declarations
--- a/src/libs/declarations/internal/duplicatefields.cpp
+++ b/src/libs/declarations/internal/duplicatefields.cpp
@@ -26,10 +26,13 @@
     using error_code = boost::json::error_code;
     using string_view = boost::json::string_view;
 
+    // The names that boost::json::basic_parser asks for.
+    // NOLINTBEGIN(readability-identifier-naming)
     static constexpr std::size_t max_object_size = std::numeric_limits<std::size_t>::max();
     static constexpr std::size_t max_array_size = std::numeric_limits<std::size_t>::max();
     static constexpr std::size_t max_key_size = std::numeric_limits<std::size_t>::max();
     static constexpr std::size_t max_string_size = std::numeric_limits<std::size_t>::max();
+    // NOLINTEND(readability-identifier-naming)
 
     std::vector<OpenContainer> open;
     std::string partialKey;
@@ -74,7 +77,6 @@
         return true;
     }
 
-    // The names below are those that boost::json::basic_parser calls.
     // NOLINTBEGIN(readability-identifier-naming)
     bool on_document_begin(error_code&) { return true; }
     bool on_document_end(error_code&) { return true; }
--- a/src/libs/declarations/successioncheck.cpp
+++ b/src/libs/declarations/successioncheck.cpp
@@ -11,16 +11,6 @@
 
 using Internal::CheckContext;
 
-bool endsAfter(const KeyRange& range, const std::string& key)
-{
-    return !range.to.has_value() || key < *range.to;
-}
-
-bool overlap(const KeyRange& left, const KeyRange& right)
-{
-    return left.service == right.service && endsAfter(left, right.from) && endsAfter(right, left.from);
-}
-
 void checkUnchanged(
     CheckContext& context, const ObjectRef& ref, bool same, std::string_view field, std::string_view what)
 {
@@ -37,20 +27,6 @@
     checkUnchanged(context, ref, current.from == next.from, "/from", "lower bound");
     checkUnchanged(context, ref, current.to == next.to, "/to", "upper bound");
     checkUnchanged(context, ref, current.shards == next.shards, "/shards", "number of shards");
-    checkUnchanged(context, ref, current.pool == next.pool, "/pool", "pool");
-}
-
-void checkNewName(CheckContext& context, const Configuration& current, const KeyRange& next)
-{
-    for (const std::pair<const Utils::KeyRangeId, KeyRange>& entry : current.keyRanges) {
-        // A range that stays and is changed has its own fault.
-        const bool stays = context.configuration.keyRanges.contains(entry.first);
-        if (stays || !overlap(entry.second, next))
-            continue;
-        reportAt(context, FaultCode::KeysChangeRange, { ObjectKind::KeyRange, next.id.value }, "/name",
-            "its keys are in range \"" + entry.first.value + "\" of the configuration in force");
-        return;
-    }
 }
 
 } // namespace
@@ -65,8 +41,6 @@
             = current.keyRanges.find(entry.first);
         if (same != current.keyRanges.end())
             checkSameName(context, same->second, entry.second);
-        else
-            checkNewName(context, current, entry.second);
     }
     return faults;
 }
--- a/src/libs/declarations/successioncheck.h
+++ b/src/libs/declarations/successioncheck.h
@@ -8,11 +8,11 @@
 
 namespace Declarations {
 
-/// Checks whether \a next may follow \a current: ownership is followed by the names of shards, so a key has
-/// to stay in its shard and its pool. A key range of both keeps its service, bounds, shards and pool
-/// (FaultCode::KeyRangeReshaped), and a key of a service in both does not change to a range of another name
-/// (FaultCode::KeysChangeRange).
-/// \param origins where each object of \a next was declared, for the faults' file and place.
+/// Checks whether \a next may follow \a current. Ownership is followed by the names of shards, so a key range
+/// of both keeps its service, its bounds and its number of shards (FaultCode::KeyRangeReshaped). It may
+/// change its pool, and its keys may turn up in a range of another name: the log's fold holds such shards
+/// back until their former owners have been settled. \param origins where each object of \a next was
+/// declared, for the faults' file and place.
 std::vector<Fault> checkSuccession(
     const Configuration& current, const Configuration& next, const Origins& origins = {});
 
