--- a/src/app/crocusferryd/main.cpp
+++ b/src/app/crocusferryd/main.cpp
@@ -67,8 +67,8 @@
     return leaf::try_handle_all(
         [&]() -> leaf::result<int> {
             BOOST_LEAF_AUTO(values,
-                Settings::readSettings("Routes requests to upstream servers that own keys exclusively.", CROCUS_VERSION,
-                    Gateway::daemonSettingSpecs(), arguments, Settings::environmentVariable));
+                Settings::readSettings("Routes requests to upstream servers that own keys exclusively.",
+                    CROCUS_VERSION, Gateway::daemonSettingSpecs(), arguments, Settings::environmentVariable));
             BOOST_LEAF_AUTO(settings, Gateway::checkDaemonSettings(values));
             return runDaemon(settings);
         },
--- a/src/libs/commands/commandtable.cpp
+++ b/src/libs/commands/commandtable.cpp
@@ -2,6 +2,7 @@
 
 #include <commands/checkcommand.h>
 #include <commands/diffcommand.h>
+#include <commands/publishcommand.h>
 
 #include <iomanip>
 
@@ -29,6 +30,7 @@
     static const std::vector<CommandRow> table {
         { "check", "check a set of declarations and list every fault", runCheck },
         { "diff", "list what changes from one set to another", runDiff },
+        { "publish", "put a set in force in place of the one it was made from", runPublish },
     };
     return table;
 }
--- /dev/null
+++ b/src/libs/commands/publishcommand.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <commands/console.h>
+#include <commands/exitcode.h>
+
+#include <string>
+#include <vector>
+
+namespace Commands {
+
+/// Checks a set of declarations and puts it in force, unless another one was accepted since its base.
+/// \param arguments the name that help shows, then the command's own arguments.
+ExitCode runPublish(const std::vector<std::string>& arguments, Console console);
+
+} // namespace Commands
--- a/src/libs/gateway/adminduty.cpp
+++ b/src/libs/gateway/adminduty.cpp
@@ -47,10 +47,7 @@
 {
 }
 
-AdminDuty::~AdminDuty()
-{
-    this->stop();
-}
+AdminDuty::~AdminDuty() { this->stop(); }
 
 void AdminDuty::start()
 {
@@ -72,7 +69,8 @@
         asio::ip::tcp::endpoint(asio::ip::make_address(this->settings.address), this->settings.adminPort));
     while (true) {
         boost::system::error_code error;
-        asio::ip::tcp::socket socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        asio::ip::tcp::socket socket
+            = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (!error)
             asio::co_spawn(this->context, this->serve(std::move(socket)), asio::detached);
     }
--- a/src/libs/gateway/answerpipe.h
+++ b/src/libs/gateway/answerpipe.h
@@ -12,8 +12,8 @@
 
 namespace Gateway {
 
-/// The parts of one answer on their way to the coroutine that passes them to the caller. One thread. Its size is
-/// bounded by the answer's window.
+/// The parts of one answer on their way to the coroutine that passes them to the caller. One thread. Its size
+/// is bounded by the answer's window.
 class AnswerPipe {
 public:
     explicit AnswerPipe(const boost::asio::any_io_executor& executor);
--- a/src/libs/gateway/callerrelay.cpp
+++ b/src/libs/gateway/callerrelay.cpp
@@ -109,10 +109,7 @@
         sendOnLink(relay.state, *link->second, Wire::AnswerCredit { relay.number, bytes });
 }
 
-AttemptResult lost(Requests::Reason reason)
-{
-    return { reason, defaultRetryAfter, true };
-}
+AttemptResult lost(Requests::Reason reason) { return { reason, defaultRetryAfter, true }; }
 
 /// Passes on the rest of an answer that is too large to hold.
 asio::awaitable<AttemptResult> streamAnswer(
@@ -161,7 +158,8 @@
         if (const Wire::AnswerEnd* end = std::get_if<Wire::AnswerEnd>(&*part)) {
             if (!end->whole)
                 co_return lost(Requests::Reason::UpstreamLost);
-            co_return AttemptResult { Requests::Reason::None, {}, co_await writeWhole(relay.caller, head, std::move(held)) };
+            co_return AttemptResult { Requests::Reason::None, {},
+                co_await writeWhole(relay.caller, head, std::move(held)) };
         }
         if (held.size() > answerHoldBytes)
             co_return co_await streamAnswer(relay, pipe, head, std::move(held));
@@ -173,7 +171,8 @@
 {
     boost::system::error_code error;
     asio::ip::tcp::socket& socket = caller.stream.socket();
-    co_await socket.async_wait(asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    co_await socket.async_wait(
+        asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
     char byte = 0;
     socket.non_blocking(true, error);
     const std::size_t waiting
@@ -219,7 +218,8 @@
         return std::nullopt;
     if (isSearch(result.reason)) {
         ++relay.searches;
-        const bool inTime = now + dispatcherRetryEvery < relay.deadline && now - relay.arrived < dispatcherSearch;
+        const bool inTime
+            = now + dispatcherRetryEvery < relay.deadline && now - relay.arrived < dispatcherSearch;
         return inTime ? std::optional<Utils::Instant>(now + dispatcherRetryEvery) : std::nullopt;
     }
     const Declarations::Configuration& configuration = *relay.state.routing->configuration;
@@ -257,7 +257,8 @@
     // A dispatcher that knows the request's id has said what is true of it; no other refusal can.
     const bool fromMemory = !isSearch(result.reason) && result.reason != Requests::Reason::EntryOverloaded;
     if (!fromMemory && answer.outcome == Requests::Outcome::NotRun)
-        answer.outcome = Requests::outcomeAtEntry(result.reason, relay.request.idempotent, relay.request.attempt);
+        answer.outcome
+            = Requests::outcomeAtEntry(result.reason, relay.request.idempotent, relay.request.attempt);
     relay.state.metrics.outcomes.add(answer.outcome);
     relay.state.metrics.refusals.add(answer.reason);
     if (!result.callerUsable || relay.caller.answerBegun)
@@ -277,7 +278,8 @@
 {
     const std::optional<RequestFault> fault = leaf::try_handle_all(
         [&]() -> leaf::result<std::optional<RequestFault>> {
-            BOOST_LEAF_ASSIGN(route, findRoute(*relay.state.routing, relay.request.service, relay.request.key));
+            BOOST_LEAF_ASSIGN(
+                route, findRoute(*relay.state.routing, relay.request.service, relay.request.key));
             return std::optional<RequestFault>();
         },
         [](const RequestFault& found) { return std::optional<RequestFault>(found); },
@@ -289,10 +291,12 @@
 
 } // namespace Internal
 
-boost::asio::awaitable<bool> relayRequest(NetworkState& state, CallerConnection& caller, CallerRequest request)
+boost::asio::awaitable<bool> relayRequest(
+    NetworkState& state, CallerConnection& caller, CallerRequest request)
 {
     const Utils::Instant arrived = Utils::monotonicNow();
-    Internal::Relay relay { state, caller, request, arrived, arrived + request.timeout, 0, 0, 0, Requests::Reason::None };
+    Internal::Relay relay { state, caller, request, arrived, arrived + request.timeout, 0, 0, 0,
+        Requests::Reason::None };
     Requests::noteFirstAttempt(state.retries, request.rank, arrived);
     Route route;
     while (true) {
--- a/src/libs/gateway/callerrelay.h
+++ b/src/libs/gateway/callerrelay.h
@@ -10,6 +10,7 @@
 
 /// Has \a request run by its dispatcher, trying again where that is right, and writes the one final answer.
 /// \returns false when the caller's connection can't be used any more.
-boost::asio::awaitable<bool> relayRequest(NetworkState& state, CallerConnection& caller, CallerRequest request);
+boost::asio::awaitable<bool> relayRequest(
+    NetworkState& state, CallerConnection& caller, CallerRequest request);
 
 } // namespace Gateway
--- a/src/libs/gateway/callers.cpp
+++ b/src/libs/gateway/callers.cpp
@@ -103,7 +103,7 @@
     caller.stream.expires_never();
     const bool usable = co_await relayRequest(state, caller, std::move(request));
     --state.requestsInHand;
-    co_return usable && caller.keepAlive;
+    co_return usable&& caller.keepAlive;
 }
 
 /// Serves one request; false when the connection is to be closed.
@@ -137,8 +137,7 @@
     CallerConnection caller(std::move(socket));
     boost::system::error_code ignored;
     caller.stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-    while (co_await serveOne(state, caller)) {
-    }
+    while (co_await serveOne(state, caller)) { }
     caller.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     --state.connections;
 }
@@ -152,7 +151,8 @@
         asio::ip::tcp::endpoint(asio::ip::make_address(state.settings.address), state.settings.callerPort));
     while (true) {
         boost::system::error_code error;
-        asio::ip::tcp::socket socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        asio::ip::tcp::socket socket
+            = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error || state.connections >= state.settings.maxCallerConnections)
             continue;
         ++state.connections;
--- a/src/libs/gateway/callerwriter.cpp
+++ b/src/libs/gateway/callerwriter.cpp
@@ -20,12 +20,14 @@
 
 bool hasLength(const Wire::AnswerHead& head)
 {
-    const auto isLength
-        = [](const Wire::HttpHeader& header) { return boost::algorithm::iequals(header.name, "Content-Length"); };
+    const auto isLength = [](const Wire::HttpHeader& header) {
+        return boost::algorithm::iequals(header.name, "Content-Length");
+    };
     return std::any_of(head.headers.begin(), head.headers.end(), isLength);
 }
 
-template <typename Body> http::response<Body> responseFor(const CallerConnection& caller, const Wire::AnswerHead& head)
+template <typename Body>
+http::response<Body> responseFor(const CallerConnection& caller, const Wire::AnswerHead& head)
 {
     http::response<Body> response;
     response.result(head.status);
@@ -65,8 +67,8 @@
     response.version(caller.version);
     response.set("Outcome", Utils::enumName(Requests::outcomeNames, answer.outcome));
     response.set("Reason", Utils::enumName(Requests::reasonNames, answer.reason));
-    response.set("Retry-After",
-        std::to_string((milliseconds + millisecondsPerSecond - 1) / millisecondsPerSecond));
+    response.set(
+        "Retry-After", std::to_string((milliseconds + millisecondsPerSecond - 1) / millisecondsPerSecond));
     response.set("Retry-After-Ms", std::to_string(milliseconds));
     response.set(http::field::content_type, "application/json");
     response.keep_alive(caller.keepAlive);
@@ -76,7 +78,8 @@
     co_return co_await Internal::writeMessage(caller, response);
 }
 
-boost::asio::awaitable<bool> writeWhole(CallerConnection& caller, const Wire::AnswerHead& head, std::string body)
+boost::asio::awaitable<bool> writeWhole(
+    CallerConnection& caller, const Wire::AnswerHead& head, std::string body)
 {
     namespace http = boost::beast::http;
     if (caller.headRequest) {
@@ -104,11 +107,13 @@
     co_return !error;
 }
 
-boost::asio::awaitable<bool> writePart(CallerConnection& caller, const Wire::AnswerHead& head, const std::string& bytes)
+boost::asio::awaitable<bool> writePart(
+    CallerConnection& caller, const Wire::AnswerHead& head, const std::string& bytes)
 {
     if (Internal::hasLength(head))
         co_return co_await Internal::writeBytes(caller, boost::asio::buffer(bytes));
-    co_return co_await Internal::writeBytes(caller, boost::beast::http::make_chunk(boost::asio::buffer(bytes)));
+    co_return co_await Internal::writeBytes(
+        caller, boost::beast::http::make_chunk(boost::asio::buffer(bytes)));
 }
 
 boost::asio::awaitable<bool> writeEnd(CallerConnection& caller, const Wire::AnswerHead& head)
--- a/src/libs/gateway/callerwriter.h
+++ b/src/libs/gateway/callerwriter.h
@@ -15,13 +15,15 @@
 boost::asio::awaitable<bool> writeFinal(CallerConnection& caller, const FinalAnswer& answer);
 
 /// Writes a whole answer of an upstream.
-boost::asio::awaitable<bool> writeWhole(CallerConnection& caller, const Wire::AnswerHead& head, std::string body);
+boost::asio::awaitable<bool> writeWhole(
+    CallerConnection& caller, const Wire::AnswerHead& head, std::string body);
 
 /// Writes the head of an answer whose body follows in parts.
 boost::asio::awaitable<bool> writeHead(CallerConnection& caller, const Wire::AnswerHead& head);
 
 /// Writes the next part of the body.
-boost::asio::awaitable<bool> writePart(CallerConnection& caller, const Wire::AnswerHead& head, const std::string& bytes);
+boost::asio::awaitable<bool> writePart(
+    CallerConnection& caller, const Wire::AnswerHead& head, const std::string& bytes);
 
 /// Writes the end of the body.
 boost::asio::awaitable<bool> writeEnd(CallerConnection& caller, const Wire::AnswerHead& head);
--- a/src/libs/gateway/controlduty.cpp
+++ b/src/libs/gateway/controlduty.cpp
@@ -40,27 +40,26 @@
 
 } // namespace Internal
 
-ControlDuty::ControlDuty(const DaemonSettings& settings, Utils::Incarnation incarnation, GatewayMetrics& metrics,
-    StatusBoard& board, ControlOutputs outputs)
+ControlDuty::ControlDuty(const DaemonSettings& settings, Utils::Incarnation incarnation,
+    GatewayMetrics& metrics, StatusBoard& board, ControlOutputs outputs)
     : state(settings, incarnation, metrics, std::move(outputs))
     , board(board)
     , mailbox(this->state.context,
-          [this](const ControlEvent& event) { std::visit([this](const auto& content) { this->handle(content); }, event); })
+          [this](const ControlEvent& event) {
+              std::visit([this](const auto& content) { this->handle(content); }, event);
+          })
     , timer(this->state.context)
 {
 }
 
-ControlDuty::~ControlDuty()
-{
-    this->stop();
-}
+ControlDuty::~ControlDuty() { this->stop(); }
 
 void ControlDuty::start()
 {
     using boost::asio::ip::udp;
     this->state.socket.open(udp::v4());
-    this->state.socket.bind(
-        udp::endpoint(boost::asio::ip::make_address(this->state.settings.address), this->state.settings.peerPort));
+    this->state.socket.bind(udp::endpoint(
+        boost::asio::ip::make_address(this->state.settings.address), this->state.settings.peerPort));
     boost::asio::co_spawn(this->state.context, receiveDatagrams(this->state), boost::asio::detached);
     this->scheduleTick();
     this->thread = std::thread([this] { this->state.context.run(); });
@@ -73,24 +72,19 @@
         this->thread.join();
 }
 
-bool ControlDuty::push(ControlEvent event)
-{
-    return this->mailbox.push(std::move(event));
-}
+bool ControlDuty::push(ControlEvent event) { return this->mailbox.push(std::move(event)); }
 
-bool ControlDuty::onDuty() const
-{
-    return this->state.onDuty;
-}
+bool ControlDuty::onDuty() const { return this->state.onDuty; }
 
 void ControlDuty::handle(const LogRead& event)
 {
-    const std::vector<Agreement::JudgedRecord> judged
-        = Agreement::foldRecords(this->state.reader, event.first, event.records, Internal::parseConfiguration);
+    const std::vector<Agreement::JudgedRecord> judged = Agreement::foldRecords(
+        this->state.reader, event.first, event.records, Internal::parseConfiguration);
     for (const Agreement::JudgedRecord& record : judged) {
         this->state.metrics.verdicts.add(record.verdict);
         Logging::write(Logging::Level::Debug, "log_record",
-            { { "offset", record.offset }, { "verdict", Utils::enumName(Agreement::verdictNames, record.verdict) } });
+            { { "offset", record.offset },
+                { "verdict", Utils::enumName(Agreement::verdictNames, record.verdict) } });
     }
     for (const Agreement::LogRecord& record : event.records) {
         this->state.newestRecordMs = std::max(this->state.newestRecordMs, record.timeMs);
@@ -101,10 +95,7 @@
         this->applyState();
 }
 
-void ControlDuty::handle(const LogExpired& event)
-{
-    Agreement::noteFirst(this->state.reader, event.first);
-}
+void ControlDuty::handle(const LogExpired& event) { Agreement::noteFirst(this->state.reader, event.first); }
 
 void ControlDuty::handle(const VmsListed& event)
 {
@@ -131,7 +122,8 @@
     if (agreed.configuration && agreed.agreed.configurationOffset != this->state.configurationOffset) {
         this->state.configuration = std::make_shared<Declarations::Configuration>(*agreed.configuration);
         this->state.configurationOffset = agreed.agreed.configurationOffset;
-        Logging::write(Logging::Level::Info, "configuration_in_force", { { "offset", this->state.configurationOffset } });
+        Logging::write(Logging::Level::Info, "configuration_in_force",
+            { { "offset", this->state.configurationOffset } });
         if (!this->state.outputs.toDispatch(ConfigurationChanged { this->state.configuration }))
             this->state.metrics.counters.add(Counter::RingFull);
     }
@@ -147,7 +139,8 @@
     table->configurationOffset = this->state.configurationOffset;
     for (const std::pair<const Utils::PoolId, Agreement::PoolAssignment>& entry :
         this->state.reader.state.agreed.assignments)
-        table->pools[entry.first] = { entry.second.token, entry.second.dispatcher.vm, entry.second.successor.vm };
+        table->pools[entry.first]
+            = { entry.second.token, entry.second.dispatcher.vm, entry.second.successor.vm };
     for (const std::pair<const Utils::VmId, Platform::VmEntry>& entry : this->state.vms) {
         table->vms[entry.first] = { { entry.second.address, entry.second.peerPort }, entry.second.region,
             entry.second.zone, entry.second.state == Platform::VmState::Leaving };
--- a/src/libs/gateway/daemon.cpp
+++ b/src/libs/gateway/daemon.cpp
@@ -36,8 +36,10 @@
           { [this](NetworkEvent event) { return this->network.push(std::move(event)); },
               [this](DispatchEvent event) { return this->dispatch.push(std::move(event)); },
               [this](std::string text) { return this->log.append(std::move(text)); } })
-    , log(this->settings, this->metrics, [this](ControlEvent event) { return this->control.push(std::move(event)); })
-    , vmList(this->settings, this->metrics, [this](ControlEvent event) { return this->control.push(std::move(event)); })
+    , log(this->settings, this->metrics,
+          [this](ControlEvent event) { return this->control.push(std::move(event)); })
+    , vmList(this->settings, this->metrics,
+          [this](ControlEvent event) { return this->control.push(std::move(event)); })
     , admin(this->settings, this->metrics, this->board)
 {
 }
@@ -61,7 +63,8 @@
     Logging::write(Logging::Level::Info, "leaving", {});
     const bool handedOver = this->awaitHandOver();
     const bool drained = this->awaitDrained();
-    Logging::write(Logging::Level::Info, "stopped", { { "handed_over", handedOver }, { "drained", drained } });
+    Logging::write(
+        Logging::Level::Info, "stopped", { { "handed_over", handedOver }, { "drained", drained } });
     this->vmList.stop();
     this->log.stop();
     this->control.stop();
@@ -83,8 +86,7 @@
 {
     this->network.drain();
     const bool told = this->dispatch.push(DrainRequested {});
-    const bool drained
-        = Internal::awaitCondition(drainLimit, [this] { return this->network.inHand() == 0; });
+    const bool drained = Internal::awaitCondition(drainLimit, [this] { return this->network.inHand() == 0; });
     std::this_thread::sleep_for(Internal::lingerAfterDrain);
     return told && drained;
 }
--- a/src/libs/gateway/daemonsettings.cpp
+++ b/src/libs/gateway/daemonsettings.cpp
@@ -49,8 +49,8 @@
     BOOST_LEAF_ASSIGN(settings.log, Settings::endpointValue("log", values.at("log")));
     BOOST_LEAF_ASSIGN(settings.vmList, Settings::endpointValue("vm-list", values.at("vm-list")));
     BOOST_LEAF_ASSIGN(settings.logStream, Settings::nameValue("log-stream", values.at("log-stream")));
-    BOOST_LEAF_AUTO(
-        seconds, Settings::numberValue("log-retention-s", values.at("log-retention-s"), 1, maxRetentionSeconds));
+    BOOST_LEAF_AUTO(seconds,
+        Settings::numberValue("log-retention-s", values.at("log-retention-s"), 1, maxRetentionSeconds));
     settings.logRetention = std::chrono::seconds(seconds);
     return {};
 }
@@ -70,11 +70,12 @@
         { "log", "CROCUSFERRY_LOG", "IP:PORT of the log service.", std::nullopt },
         { "vm-list", "CROCUSFERRY_VM_LIST", "IP:PORT of the VM list.", std::nullopt },
         { "log-stream", "CROCUSFERRY_LOG_STREAM", "Stream of the log service to use.", "crocusferry" },
-        { "log-retention-s", "CROCUSFERRY_LOG_RETENTION_S", "Seconds for which the log service keeps records.",
-            "86400" },
-        { "log-level", "CROCUSFERRY_LOG_LEVEL", "Lowest level of log lines: debug, info, warning, error.", "info" },
-        { "max-caller-connections", "CROCUSFERRY_MAX_CALLER_CONNECTIONS", "Callers' connections held at a time.",
-            "2000" },
+        { "log-retention-s", "CROCUSFERRY_LOG_RETENTION_S",
+            "Seconds for which the log service keeps records.", "86400" },
+        { "log-level", "CROCUSFERRY_LOG_LEVEL", "Lowest level of log lines: debug, info, warning, error.",
+            "info" },
+        { "max-caller-connections", "CROCUSFERRY_MAX_CALLER_CONNECTIONS",
+            "Callers' connections held at a time.", "2000" },
         { "max-requests", "CROCUSFERRY_MAX_REQUESTS", "Requests in hand at a time.", "8000" },
     };
     return specs;
@@ -87,7 +88,8 @@
     BOOST_LEAF_CHECK(Internal::readPlatform(values, settings));
     BOOST_LEAF_ASSIGN(settings.logLevel, Internal::levelValue(values, "log-level"));
     BOOST_LEAF_ASSIGN(settings.maxCallerConnections,
-        Settings::numberValue("max-caller-connections", values.at("max-caller-connections"), 1, Internal::maxConnectionSetting));
+        Settings::numberValue("max-caller-connections", values.at("max-caller-connections"), 1,
+            Internal::maxConnectionSetting));
     BOOST_LEAF_ASSIGN(settings.maxRequests,
         Settings::numberValue("max-requests", values.at("max-requests"), 1, Internal::maxRequestSetting));
     return settings;
--- a/src/libs/gateway/datagrams.cpp
+++ b/src/libs/gateway/datagrams.cpp
@@ -26,7 +26,8 @@
 {
     if (!beat.answer) {
         sendDatagram(state, from.vm,
-            { state.self, Wire::Heartbeat { beat.sequence, true, state.reader.state.agreed.applied, state.leaving } });
+            { state.self,
+                Wire::Heartbeat { beat.sequence, true, state.reader.state.agreed.applied, state.leaving } });
         return;
     }
     Membership::VmHealth& health = state.health[from.vm];
@@ -116,7 +117,8 @@
     for (const Utils::VmId& vm : targets)
         sendDatagram(state, vm,
             { state.self,
-                Wire::Heartbeat { ++state.lastHeartbeat, false, state.reader.state.agreed.applied, state.leaving } });
+                Wire::Heartbeat {
+                    ++state.lastHeartbeat, false, state.reader.state.agreed.applied, state.leaving } });
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/dispatchduty.cpp
+++ b/src/libs/gateway/dispatchduty.cpp
@@ -22,10 +22,7 @@
 {
 }
 
-DispatchDuty::~DispatchDuty()
-{
-    this->stop();
-}
+DispatchDuty::~DispatchDuty() { this->stop(); }
 
 void DispatchDuty::start()
 {
@@ -40,10 +37,7 @@
         this->thread.join();
 }
 
-bool DispatchDuty::push(DispatchEvent event)
-{
-    return this->ring.push(std::move(event));
-}
+bool DispatchDuty::push(DispatchEvent event) { return this->ring.push(std::move(event)); }
 
 void DispatchDuty::run()
 {
@@ -61,10 +55,12 @@
 {
     const auto found = this->pools.find(event.pool);
     if (found == this->pools.end() || !found->second.dispatching) {
-        this->send(Dispatch::AnswerWork { event.work.id, Requests::Reason::NotDispatcher, defaultRetryAfter });
+        this->send(
+            Dispatch::AnswerWork { event.work.id, Requests::Reason::NotDispatcher, defaultRetryAfter });
         return;
     }
-    this->carryOut(event.pool, found->second, Dispatch::submit(found->second.state, event.work, Utils::monotonicNow()));
+    this->carryOut(
+        event.pool, found->second, Dispatch::submit(found->second.state, event.work, Utils::monotonicNow()));
 }
 
 void DispatchDuty::handle(const WorkFinished& event)
@@ -81,7 +77,8 @@
     const auto found = this->pools.find(event.pool);
     if (found == this->pools.end())
         return;
-    this->carryOut(event.pool, found->second, Dispatch::cancel(found->second.state, event.work, Utils::monotonicNow()));
+    this->carryOut(
+        event.pool, found->second, Dispatch::cancel(found->second.state, event.work, Utils::monotonicNow()));
 }
 
 void DispatchDuty::handle(const ServingChanged& event)
@@ -97,12 +94,14 @@
     pool.serving = event.shards;
     for (const std::pair<const Utils::ShardId, ServingEntry>& entry : before) {
         if (!pool.serving.contains(entry.first))
-            this->carryOut(event.pool, pool, Dispatch::placeShard(pool.state, entry.first, std::nullopt, now));
+            this->carryOut(
+                event.pool, pool, Dispatch::placeShard(pool.state, entry.first, std::nullopt, now));
     }
     for (const std::pair<const Utils::ShardId, ServingEntry>& entry : event.shards) {
         const auto former = before.find(entry.first);
         if (former == before.end() || former->second.upstream != entry.second.upstream)
-            this->carryOut(event.pool, pool, Dispatch::placeShard(pool.state, entry.first, entry.second.upstream, now));
+            this->carryOut(
+                event.pool, pool, Dispatch::placeShard(pool.state, entry.first, entry.second.upstream, now));
     }
 }
 
@@ -119,7 +118,8 @@
     if (found == this->pools.end())
         return;
     this->carryOut(event.pool, found->second,
-        Dispatch::setUpstreamCondition(found->second.state, event.upstream, event.condition, Utils::monotonicNow()));
+        Dispatch::setUpstreamCondition(
+            found->second.state, event.upstream, event.condition, Utils::monotonicNow()));
 }
 
 void DispatchDuty::handle(const DrainRequested&)
--- a/src/libs/gateway/dispatchevent.h
+++ b/src/libs/gateway/dispatchevent.h
@@ -13,7 +13,7 @@
 namespace Gateway {
 
 /// What other duties tell the dispatch duty.
-using DispatchEvent = std::variant<SubmitWork, WorkFinished, WorkCancelled, ServingChanged, ConfigurationChanged,
-    UpstreamReported, DrainRequested>;
+using DispatchEvent = std::variant<SubmitWork, WorkFinished, WorkCancelled, ServingChanged,
+    ConfigurationChanged, UpstreamReported, DrainRequested>;
 
 } // namespace Gateway
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -12,7 +12,8 @@
 inline constexpr std::uint32_t maxRequestHeadBytes = 16U << 10U;
 /// Longest head of an upstream's answer, in bytes.
 inline constexpr std::uint32_t maxAnswerHeadBytes = 32U << 10U;
-/// Bytes of an answer that are read ahead before its head is passed on, so that a small one arrives whole or not at all.
+/// Bytes of an answer that are read ahead before its head is passed on, so that a small one arrives whole or
+/// not at all.
 inline constexpr std::size_t answerHoldBytes = 64U << 10U;
 /// Bytes of an answer under way between dispatcher and caller.
 inline constexpr std::uint64_t answerWindowBytes = 256U << 10U;
--- a/src/libs/gateway/granters.cpp
+++ b/src/libs/gateway/granters.cpp
@@ -16,10 +16,7 @@
 
 using Ownership::GranterState;
 
-bool names(const Agreement::VmStart& start, const Agreement::VmStart& self)
-{
-    return start == self;
-}
+bool names(const Agreement::VmStart& start, const Agreement::VmStart& self) { return start == self; }
 
 bool concerns(const Agreement::PoolAssignment& assignment, const Agreement::VmStart& self)
 {
@@ -52,8 +49,8 @@
     state.metrics.counters.add(Counter::ShardsServed);
     state.servingDirty[pool] = true;
     Logging::write(Logging::Level::Debug, "shard_served",
-        { { "shard", action.shard.value }, { "upstream", action.upstream.value }, { "token", action.level.token },
-            { "epoch", action.level.epoch } });
+        { { "shard", action.shard.value }, { "upstream", action.upstream.value },
+            { "token", action.level.token }, { "epoch", action.level.epoch } });
 }
 
 void carryOut(ControlState& state, const Utils::PoolId& pool, const Ownership::ShardUnserved& action)
@@ -71,7 +68,8 @@
         { { "pool", pool.value }, { "token", action.seen.token }, { "epoch", action.seen.epoch } });
 }
 
-void carryOutAll(ControlState& state, const Utils::PoolId& pool, const std::vector<Ownership::Action>& actions)
+void carryOutAll(
+    ControlState& state, const Utils::PoolId& pool, const std::vector<Ownership::Action>& actions)
 {
     for (const Ownership::Action& action : actions)
         std::visit([&](const auto& content) { carryOut(state, pool, content); }, action);
@@ -100,7 +98,8 @@
         state.metrics.counters.add(Counter::RingFull);
 }
 
-void takeOverIfSuspected(ControlState& state, const Utils::PoolId& pool, GranterState& granter, Utils::Instant now)
+void takeOverIfSuspected(
+    ControlState& state, const Utils::PoolId& pool, GranterState& granter, Utils::Instant now)
 {
     if (!Ownership::suspectsDispatcher(granter, now))
         return;
@@ -119,7 +118,8 @@
     const Utils::Instant now = Utils::monotonicNow();
     if (state.configuration == nullptr)
         return;
-    for (const std::pair<const Utils::PoolId, Agreement::PoolAssignment>& entry : state.reader.state.agreed.assignments) {
+    for (const std::pair<const Utils::PoolId, Agreement::PoolAssignment>& entry :
+        state.reader.state.agreed.assignments) {
         const auto known = state.granters.find(entry.first);
         if (known == state.granters.end() && !Internal::concerns(entry.second, state.self))
             continue;
@@ -139,18 +139,20 @@
     const auto found = state.granters.find(pool);
     if (found == state.granters.end())
         return;
-    Internal::carryOutAll(state, pool,
-        Ownership::onHolderAnswer(found->second, upstream, ask, answer, Utils::monotonicNow()));
+    Internal::carryOutAll(
+        state, pool, Ownership::onHolderAnswer(found->second, upstream, ask, answer, Utils::monotonicNow()));
     state.servingDirty[pool] = true;
 }
 
-void notePeerMessage(ControlState& state, const Agreement::VmStart& from, const Ownership::PeerMessage& message)
+void notePeerMessage(
+    ControlState& state, const Agreement::VmStart& from, const Ownership::PeerMessage& message)
 {
     const Utils::PoolId pool = Internal::poolOf(message);
     const auto found = state.granters.find(pool);
     if (found == state.granters.end())
         return;
-    Internal::carryOutAll(state, pool, Ownership::onPeerMessage(found->second, from, message, Utils::monotonicNow()));
+    Internal::carryOutAll(
+        state, pool, Ownership::onPeerMessage(found->second, from, message, Utils::monotonicNow()));
 }
 
 void tickGranters(ControlState& state)
--- a/src/libs/gateway/granters.h
+++ b/src/libs/gateway/granters.h
@@ -14,10 +14,11 @@
 void noteHolderAnswer(ControlState& state, const Utils::PoolId& pool, const Utils::UpstreamId& upstream,
     std::uint64_t ask, const Ownership::HolderAnswer& answer);
 
-void notePeerMessage(ControlState& state, const Agreement::VmStart& from, const Ownership::PeerMessage& message);
+void notePeerMessage(
+    ControlState& state, const Agreement::VmStart& from, const Ownership::PeerMessage& message);
 
-/// Ticks granters whose time has come, takes over where the dispatcher is suspected, and tells the dispatch duty what
-/// has changed.
+/// Ticks granters whose time has come, takes over where the dispatcher is suspected, and tells the dispatch
+/// duty what has changed.
 void tickGranters(ControlState& state);
 
 /// Stops granting everywhere and hands over to the successors.
--- a/src/libs/gateway/heldworks.cpp
+++ b/src/libs/gateway/heldworks.cpp
@@ -92,7 +92,8 @@
     state.metrics.counters.add(Counter::WorksHeld);
     if (!state.toDispatch(SubmitWork { work->message.pool, Internal::describe(*work) })) {
         state.metrics.counters.add(Counter::RingFull);
-        carryOut(state, Dispatch::AnswerWork { work->id, Requests::Reason::EntryOverloaded, defaultRetryAfter });
+        carryOut(
+            state, Dispatch::AnswerWork { work->id, Requests::Reason::EntryOverloaded, defaultRetryAfter });
         return std::nullopt;
     }
     return work->id;
@@ -175,7 +176,8 @@
     if (found == state.works.end())
         return;
     if (stored == state.stored.end()) {
-        carryOut(state, Dispatch::AnswerWork { action.work, Requests::Reason::AlreadyRan, defaultRetryAfter });
+        carryOut(
+            state, Dispatch::AnswerWork { action.work, Requests::Reason::AlreadyRan, defaultRetryAfter });
         return;
     }
     state.metrics.counters.add(Counter::AnswersReplayed);
@@ -188,7 +190,8 @@
 
 void carryOut(NetworkState& state, const Dispatch::CancelWork& action)
 {
-    boost::asio::co_spawn(state.context, cancelAtUpstream(state, action.work, action.upstream), boost::asio::detached);
+    boost::asio::co_spawn(
+        state.context, cancelAtUpstream(state, action.work, action.upstream), boost::asio::detached);
 }
 
 void carryOut(NetworkState& state, const Dispatch::StoreAnswer& action)
@@ -200,9 +203,6 @@
     state.undecided.erase(found);
 }
 
-void carryOut(NetworkState& state, const Dispatch::DropAnswer& action)
-{
-    state.stored.erase(action.work);
-}
+void carryOut(NetworkState& state, const Dispatch::DropAnswer& action) { state.stored.erase(action.work); }
 
 } // namespace Gateway
--- a/src/libs/gateway/heldworks.h
+++ b/src/libs/gateway/heldworks.h
@@ -14,7 +14,8 @@
 
 /// Takes a request and submits it to the dispatch duty; refuses it at once when it can't.
 /// \returns the work's id, or nothing when refused.
-std::optional<Requests::WorkId> holdWork(NetworkState& state, const Origin& origin, Wire::WorkRequest message);
+std::optional<Requests::WorkId> holdWork(
+    NetworkState& state, const Origin& origin, Wire::WorkRequest message);
 
 /// The entry has passed on \a bytes of the answer.
 void creditWork(NetworkState& state, const Origin& origin, std::uint64_t bytes);
--- a/src/libs/gateway/holdercalls.cpp
+++ b/src/libs/gateway/holdercalls.cpp
@@ -97,7 +97,8 @@
     co_return answer;
 }
 
-void noteHealth(ControlState& state, const Utils::UpstreamId& id, const std::optional<Ownership::HolderAnswer>& answer)
+void noteHealth(
+    ControlState& state, const Utils::UpstreamId& id, const std::optional<Ownership::HolderAnswer>& answer)
 {
     if (!answer) {
         state.metrics.counters.add(Counter::HolderCallsFailed);
@@ -140,8 +141,8 @@
 
 boost::asio::awaitable<void> pollUpstream(ControlState& state, Utils::UpstreamId upstream)
 {
-    const std::optional<Ownership::HolderAnswer> answer = co_await Internal::exchange(
-        state, upstream, boost::beast::http::verb::get, "/control/state", "");
+    const std::optional<Ownership::HolderAnswer> answer
+        = co_await Internal::exchange(state, upstream, boost::beast::http::verb::get, "/control/state", "");
     Internal::noteHealth(state, upstream, answer);
 }
 
--- a/src/libs/gateway/holdercodec.cpp
+++ b/src/libs/gateway/holdercodec.cpp
@@ -60,9 +60,10 @@
     boost::json::array shards;
     for (const Utils::ShardId& shard : request.shards)
         shards.emplace_back(shard.value);
-    return boost::json::serialize(boost::json::object { { "token", request.level.token },
-        { "epoch", request.level.epoch }, { "incarnation", request.incarnation }, { "sequence", request.sequence },
-        { "expires_at_us", request.expiresAt }, { "shards", std::move(shards) } });
+    return boost::json::serialize(
+        boost::json::object { { "token", request.level.token }, { "epoch", request.level.epoch },
+            { "incarnation", request.incarnation }, { "sequence", request.sequence },
+            { "expires_at_us", request.expiresAt }, { "shards", std::move(shards) } });
 }
 
 std::string encodeFence(const Ownership::FenceRequest& request)
--- a/src/libs/gateway/links.cpp
+++ b/src/libs/gateway/links.cpp
@@ -37,7 +37,8 @@
 {
     if (buffer.size() < Wire::frameLengthBytes)
         return std::optional<Wire::PeerMessage>();
-    BOOST_LEAF_AUTO(length, Wire::decodeFrameLength(std::string_view(buffer).substr(0, Wire::frameLengthBytes)));
+    BOOST_LEAF_AUTO(
+        length, Wire::decodeFrameLength(std::string_view(buffer).substr(0, Wire::frameLengthBytes)));
     if (buffer.size() < Wire::frameLengthBytes + length)
         return std::optional<Wire::PeerMessage>();
     // FlatBuffers wants its bytes aligned, and the front of a string's own buffer is.
@@ -76,7 +77,7 @@
 }
 
 template <typename Part>
-    requires std::constructible_from<AnswerPart, Part>
+requires std::constructible_from<AnswerPart, Part>
 void handleFrom(NetworkState& state, PeerLink& link, Part& part)
 {
     const auto found = state.pending.find(part.request);
@@ -137,8 +138,8 @@
         buffers.reserve(frames.size());
         for (const std::string& frame : frames)
             buffers.push_back(asio::buffer(frame));
-        const std::size_t written
-            = co_await asio::async_write(link->socket, buffers, asio::redirect_error(asio::use_awaitable, error));
+        const std::size_t written = co_await asio::async_write(
+            link->socket, buffers, asio::redirect_error(asio::use_awaitable, error));
         if (error)
             break;
         link->outboxBytes -= written;
@@ -220,8 +221,8 @@
 {
     namespace asio = boost::asio;
     using asio::ip::tcp;
-    tcp::acceptor acceptor(
-        state.context, tcp::endpoint(asio::ip::make_address(state.settings.address), state.settings.peerPort));
+    tcp::acceptor acceptor(state.context,
+        tcp::endpoint(asio::ip::make_address(state.settings.address), state.settings.peerPort));
     while (true) {
         boost::system::error_code error;
         tcp::socket socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
--- a/src/libs/gateway/logduty.cpp
+++ b/src/libs/gateway/logduty.cpp
@@ -29,7 +29,8 @@
 
 } // namespace Internal
 
-LogDuty::LogDuty(const DaemonSettings& settings, GatewayMetrics& metrics, std::function<bool(ControlEvent)> toControl)
+LogDuty::LogDuty(
+    const DaemonSettings& settings, GatewayMetrics& metrics, std::function<bool(ControlEvent)> toControl)
     : endpoint { { settings.log.address, settings.log.port }, settings.logStream }
     , metrics(metrics)
     , toControl(std::move(toControl))
@@ -37,10 +38,7 @@
 {
 }
 
-LogDuty::~LogDuty()
-{
-    this->stop();
-}
+LogDuty::~LogDuty() { this->stop(); }
 
 void LogDuty::start()
 {
@@ -58,10 +56,7 @@
         this->appender.join();
 }
 
-bool LogDuty::append(std::string text)
-{
-    return this->appends.push(std::move(text));
-}
+bool LogDuty::append(std::string text) { return this->appends.push(std::move(text)); }
 
 void LogDuty::readLoop()
 {
@@ -112,7 +107,8 @@
 {
     namespace leaf = boost::leaf;
     bool repeat = true;
-    for (unsigned attempt = 0; repeat && attempt < Internal::maxAppendAttempts && !this->stopping; ++attempt) {
+    for (unsigned attempt = 0; repeat && attempt < Internal::maxAppendAttempts && !this->stopping;
+         ++attempt) {
         this->metrics.counters.add(Counter::LogAppends);
         repeat = leaf::try_handle_all(
             [&]() -> leaf::result<bool> {
--- a/src/libs/gateway/logduty.h
+++ b/src/libs/gateway/logduty.h
@@ -16,7 +16,8 @@
 /// The two threads that talk to the log service: one reads, one appends.
 class LogDuty {
 public:
-    LogDuty(const DaemonSettings& settings, GatewayMetrics& metrics, std::function<bool(ControlEvent)> toControl);
+    LogDuty(
+        const DaemonSettings& settings, GatewayMetrics& metrics, std::function<bool(ControlEvent)> toControl);
     ~LogDuty();
 
     void start();
--- a/src/libs/gateway/networkduty.cpp
+++ b/src/libs/gateway/networkduty.cpp
@@ -12,10 +12,7 @@
 
 namespace Internal {
 
-void handleNetworkEvent(NetworkState& state, const RoutingChanged& routing)
-{
-    state.routing = routing;
-}
+void handleNetworkEvent(NetworkState& state, const RoutingChanged& routing) { state.routing = routing; }
 
 template <typename Action> void handleNetworkEvent(NetworkState& state, const Action& action)
 {
@@ -24,17 +21,14 @@
 
 } // namespace Internal
 
-NetworkDuty::NetworkDuty(const DaemonSettings& settings, Utils::Incarnation incarnation, GatewayMetrics& metrics,
-    std::function<bool(DispatchEvent)> toDispatch)
+NetworkDuty::NetworkDuty(const DaemonSettings& settings, Utils::Incarnation incarnation,
+    GatewayMetrics& metrics, std::function<bool(DispatchEvent)> toDispatch)
     : state(settings, incarnation, metrics, std::move(toDispatch))
     , mailbox(this->state.context, [this](const NetworkEvent& event) { this->handle(event); })
 {
 }
 
-NetworkDuty::~NetworkDuty()
-{
-    this->stop();
-}
+NetworkDuty::~NetworkDuty() { this->stop(); }
 
 void NetworkDuty::start()
 {
@@ -50,20 +44,14 @@
         this->thread.join();
 }
 
-bool NetworkDuty::push(NetworkEvent event)
-{
-    return this->mailbox.push(std::move(event));
-}
+bool NetworkDuty::push(NetworkEvent event) { return this->mailbox.push(std::move(event)); }
 
 void NetworkDuty::drain()
 {
     boost::asio::post(this->state.context, [this] { this->state.draining = true; });
 }
 
-std::uint64_t NetworkDuty::inHand() const
-{
-    return this->state.requestsInHand + this->state.worksInHand;
-}
+std::uint64_t NetworkDuty::inHand() const { return this->state.requestsInHand + this->state.worksInHand; }
 
 void NetworkDuty::handle(const NetworkEvent& event)
 {
--- a/src/libs/gateway/poolpolicy.cpp
+++ b/src/libs/gateway/poolpolicy.cpp
@@ -7,7 +7,8 @@
 
 namespace Internal {
 
-std::set<Utils::ServiceId> servicesOf(const Declarations::Configuration& configuration, const Utils::PoolId& pool)
+std::set<Utils::ServiceId> servicesOf(
+    const Declarations::Configuration& configuration, const Utils::PoolId& pool)
 {
     std::set<Utils::ServiceId> services;
     for (const std::pair<const Utils::KeyRangeId, Declarations::KeyRange>& entry : configuration.keyRanges) {
@@ -19,7 +20,8 @@
 
 } // namespace Internal
 
-const Declarations::Policy& policyOf(const Declarations::Configuration& configuration, const Utils::PoolId& pool)
+const Declarations::Policy& policyOf(
+    const Declarations::Configuration& configuration, const Utils::PoolId& pool)
 {
     static const Declarations::Policy fallback;
     const std::set<Utils::ServiceId> services = Internal::servicesOf(configuration, pool);
@@ -28,24 +30,28 @@
     return configuration.policies.at(configuration.services.at(*services.begin()).policy);
 }
 
-Dispatch::DispatchOptions dispatchOptionsOf(const Declarations::Configuration& configuration, const Utils::PoolId& pool)
+Dispatch::DispatchOptions dispatchOptionsOf(
+    const Declarations::Configuration& configuration, const Utils::PoolId& pool)
 {
     Dispatch::DispatchOptions options;
     options.ranks = configuration.ranks;
     options.upstreams = configuration.pools.at(pool).upstreams;
     options.idempotency = policyOf(configuration, pool).idempotency;
     for (const Utils::ServiceId& service : Internal::servicesOf(configuration, pool))
-        options.serviceIdempotency[service] = configuration.policies.at(configuration.services.at(service).policy).idempotency;
+        options.serviceIdempotency[service]
+            = configuration.policies.at(configuration.services.at(service).policy).idempotency;
     return options;
 }
 
-Ownership::GranterOptions granterOptionsOf(const Declarations::Configuration& configuration, const Utils::PoolId& pool)
+Ownership::GranterOptions granterOptionsOf(
+    const Declarations::Configuration& configuration, const Utils::PoolId& pool)
 {
     Ownership::GranterOptions options;
     options.lease = policyOf(configuration, pool).lease;
     const auto declared = configuration.pools.find(pool);
     if (declared != configuration.pools.end()) {
-        for (const std::pair<const Utils::UpstreamId, Declarations::Upstream>& entry : declared->second.upstreams) {
+        for (const std::pair<const Utils::UpstreamId, Declarations::Upstream>& entry :
+            declared->second.upstreams) {
             if (!entry.second.checksGrants)
                 options.unchecked.insert(entry.first);
         }
--- a/src/libs/gateway/proposals.cpp
+++ b/src/libs/gateway/proposals.cpp
@@ -31,7 +31,8 @@
 std::map<Utils::VmId, unsigned> countDuties(const ControlState& state)
 {
     std::map<Utils::VmId, unsigned> duties;
-    for (const std::pair<const Utils::PoolId, PoolAssignment>& entry : state.reader.state.agreed.assignments) {
+    for (const std::pair<const Utils::PoolId, PoolAssignment>& entry :
+        state.reader.state.agreed.assignments) {
         ++duties[entry.second.dispatcher.vm];
         ++duties[entry.second.successor.vm];
     }
@@ -52,8 +53,8 @@
         alive[entry.first] = { health->second.incarnation, entry.second.region, entry.second.zone, leaving,
             duties[entry.first] };
     }
-    alive[state.self.vm] = { state.self.incarnation, state.settings.region, state.settings.zone, state.leaving,
-        duties[state.self.vm] };
+    alive[state.self.vm] = { state.self.incarnation, state.settings.region, state.settings.zone,
+        state.leaving, duties[state.self.vm] };
     return alive;
 }
 
@@ -103,7 +104,8 @@
     return true;
 }
 
-void proposeAssignmentDue(ControlState& state, const Declarations::UpstreamPool& pool, const ProposalInput& input)
+void proposeAssignmentDue(
+    ControlState& state, const Declarations::UpstreamPool& pool, const ProposalInput& input)
 {
     if (!knowsUpstreams(state, pool))
         return;
@@ -112,8 +114,9 @@
         return;
     record->header = nextHeader(state);
     Logging::write(Logging::Level::Info, "proposal",
-        { { "pool", pool.id.value }, { "based_on", record->basedOn }, { "dispatcher", record->dispatcher.vm.value },
-            { "successor", record->successor.vm.value }, { "upstreams", record->upstreams.size() } });
+        { { "pool", pool.id.value }, { "based_on", record->basedOn },
+            { "dispatcher", record->dispatcher.vm.value }, { "successor", record->successor.vm.value },
+            { "upstreams", record->upstreams.size() } });
     append(state, *record);
 }
 
@@ -153,10 +156,12 @@
         return;
     const Utils::Instant now = Utils::monotonicNow();
     const std::map<Utils::VmId, Membership::VmCandidate> alive = Internal::aliveVms(state);
-    for (const std::pair<const Utils::PoolId, Declarations::UpstreamPool>& pool : state.configuration->pools) {
+    for (const std::pair<const Utils::PoolId, Declarations::UpstreamPool>& pool :
+        state.configuration->pools) {
         if (!Membership::isProposer(Internal::inputFor(state, pool.second, alive)))
             continue;
-        for (const std::pair<const Utils::UpstreamId, Declarations::Upstream>& entry : pool.second.upstreams) {
+        for (const std::pair<const Utils::UpstreamId, Declarations::Upstream>& entry :
+            pool.second.upstreams) {
             UpstreamHealth& health = state.upstreams[entry.first];
             if (now - health.lastAsked < upstreamPollEvery)
                 continue;
@@ -172,7 +177,8 @@
         return;
     const Utils::Instant now = Utils::monotonicNow();
     const std::map<Utils::VmId, Membership::VmCandidate> alive = Internal::aliveVms(state);
-    for (const std::pair<const Utils::PoolId, Declarations::UpstreamPool>& pool : state.configuration->pools) {
+    for (const std::pair<const Utils::PoolId, Declarations::UpstreamPool>& pool :
+        state.configuration->pools) {
         Utils::Instant& last = state.lastProposal[pool.first];
         if (now - last < proposalEvery)
             continue;
--- a/src/libs/gateway/requesthead.cpp
+++ b/src/libs/gateway/requesthead.cpp
@@ -22,12 +22,13 @@
 
 constexpr std::array<std::string_view, 9> hopHeaders { "Connection", "Keep-Alive", "Proxy-Connection",
     "Transfer-Encoding", "TE", "Trailer", "Upgrade", "Content-Length", "Expect" };
-constexpr std::array<std::string_view, 7> systemHeaders { "Request-Rank", "Request-Timeout-Ms", "Request-Attempt",
-    "Fencing-Token", "Shard", "Request-Id", "Idempotency-Key" };
+constexpr std::array<std::string_view, 7> systemHeaders { "Request-Rank", "Request-Timeout-Ms",
+    "Request-Attempt", "Fencing-Token", "Shard", "Request-Id", "Idempotency-Key" };
 constexpr std::array<std::string_view, 4> idempotentMethods { "GET", "HEAD", "PUT", "DELETE" };
 constexpr std::array<std::string_view, 2> otherMethods { "POST", "PATCH" };
 
-template <std::size_t Size> bool contains(const std::array<std::string_view, Size>& names, std::string_view name)
+template <std::size_t Size>
+bool contains(const std::array<std::string_view, Size>& names, std::string_view name)
 {
     const auto matches = [name](std::string_view entry) { return boost::algorithm::iequals(entry, name); };
     return std::any_of(names.begin(), names.end(), matches);
@@ -62,7 +63,8 @@
 
 bool isVisible(const std::string& text)
 {
-    return std::all_of(text.begin(), text.end(), [](char character) { return character > ' ' && character <= '~'; });
+    return std::all_of(
+        text.begin(), text.end(), [](char character) { return character > ' ' && character <= '~'; });
 }
 
 leaf::result<void> readTarget(const HttpHead& head, CallerRequest& request)
@@ -130,17 +132,12 @@
 
 } // namespace Internal
 
-bool isHopHeader(std::string_view name)
-{
-    return Internal::contains(Internal::hopHeaders, name);
-}
+bool isHopHeader(std::string_view name) { return Internal::contains(Internal::hopHeaders, name); }
 
-bool isSystemHeader(std::string_view name)
-{
-    return Internal::contains(Internal::systemHeaders, name);
-}
+bool isSystemHeader(std::string_view name) { return Internal::contains(Internal::systemHeaders, name); }
 
-boost::leaf::result<CallerRequest> readRequestHead(const HttpHead& head, const Declarations::Configuration& configuration)
+boost::leaf::result<CallerRequest> readRequestHead(
+    const HttpHead& head, const Declarations::Configuration& configuration)
 {
     CallerRequest request;
     BOOST_LEAF_CHECK(Internal::readTarget(head, request));
--- a/src/libs/gateway/requesthead.h
+++ b/src/libs/gateway/requesthead.h
@@ -13,7 +13,8 @@
 namespace Gateway {
 
 /// The request that \a head announces, its body still missing. Errors: RequestFault.
-boost::leaf::result<CallerRequest> readRequestHead(const HttpHead& head, const Declarations::Configuration& configuration);
+boost::leaf::result<CallerRequest> readRequestHead(
+    const HttpHead& head, const Declarations::Configuration& configuration);
 
 /// Whether \a name belongs to one connection only and is not passed on.
 bool isHopHeader(std::string_view name);
--- a/src/libs/gateway/routing.cpp
+++ b/src/libs/gateway/routing.cpp
@@ -5,7 +5,8 @@
 
 namespace Gateway {
 
-boost::leaf::result<Route> findRoute(const RoutingTable& table, const Utils::ServiceId& service, std::string_view key)
+boost::leaf::result<Route> findRoute(
+    const RoutingTable& table, const Utils::ServiceId& service, std::string_view key)
 {
     if (table.configuration == nullptr)
         return boost::leaf::new_error(RequestFault { Requests::Reason::NoConfiguration, "configuration" });
--- a/src/libs/gateway/routing.h
+++ b/src/libs/gateway/routing.h
@@ -9,8 +9,8 @@
 
 namespace Gateway {
 
-/// The route of \a key. Errors: RequestFault with NoConfiguration, UnknownService, or NoOwner when the pool has no
-/// assignment yet.
+/// The route of \a key. Errors: RequestFault with NoConfiguration, UnknownService, or NoOwner when the pool
+/// has no assignment yet.
 boost::leaf::result<Route> findRoute(
     const RoutingTable& table, const Utils::ServiceId& service, std::string_view key);
 
--- a/src/libs/gateway/statusreport.cpp
+++ b/src/libs/gateway/statusreport.cpp
@@ -42,7 +42,9 @@
         = health != state.health.end() && Membership::isAlive(health->second, Utils::monotonicNow(), silence);
     object["zone"] = entry.zone.value;
     object["alive"] = self || alive;
-    object["applied"] = self ? state.reader.state.agreed.applied : health != state.health.end() ? health->second.applied : 0;
+    object["applied"] = self           ? state.reader.state.agreed.applied
+        : health != state.health.end() ? health->second.applied
+                                       : 0;
     return object;
 }
 
--- a/src/libs/gateway/upstreamexchange.cpp
+++ b/src/libs/gateway/upstreamexchange.cpp
@@ -53,7 +53,8 @@
     return result;
 }
 
-std::unique_ptr<UpstreamConnection> takeIdle(NetworkState& state, const Utils::UpstreamId& upstream, bool idempotent)
+std::unique_ptr<UpstreamConnection> takeIdle(
+    NetworkState& state, const Utils::UpstreamId& upstream, bool idempotent)
 {
     const auto found = state.idle.find(upstream);
     if (found == state.idle.end() || found->second.empty())
@@ -68,13 +69,15 @@
     return nullptr;
 }
 
-asio::awaitable<std::unique_ptr<UpstreamConnection>> openConnection(NetworkState& state, const Settings::Endpoint& place)
+asio::awaitable<std::unique_ptr<UpstreamConnection>> openConnection(
+    NetworkState& state, const Settings::Endpoint& place)
 {
     std::unique_ptr<UpstreamConnection> connection
         = std::make_unique<UpstreamConnection>(state.context.get_executor());
     boost::system::error_code error;
     connection->stream.expires_after(connectTimeout);
-    co_await connection->stream.async_connect(tcp::endpoint(asio::ip::make_address(place.address), place.port),
+    co_await connection->stream.async_connect(
+        tcp::endpoint(asio::ip::make_address(place.address), place.port),
         asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return nullptr;
@@ -86,10 +89,12 @@
 /// The id under which upstreams know a work; no other instance gives out the same.
 std::string upstreamRequestId(const NetworkState& state, const Requests::WorkId& work)
 {
-    return state.settings.name.value + "-" + std::to_string(state.incarnation) + "-" + std::to_string(work.value);
+    return state.settings.name.value + "-" + std::to_string(state.incarnation) + "-"
+        + std::to_string(work.value);
 }
 
-http::request<http::string_body> requestFor(const NetworkState& state, const HeldWork& work, const RunWork& run)
+http::request<http::string_body> requestFor(
+    const NetworkState& state, const HeldWork& work, const RunWork& run)
 {
     http::request<http::string_body> request;
     request.method_string(work.message.method);
@@ -133,7 +138,8 @@
 {
     const beast::string_view text = header["Retry-After-Ms"];
     std::int64_t milliseconds = 0;
-    const std::from_chars_result parsed = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    const std::from_chars_result parsed
+        = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
     if (parsed.ec != std::errc() || milliseconds < 0)
         return {};
     return std::min<Utils::Duration>(std::chrono::milliseconds(milliseconds), std::chrono::minutes(10));
@@ -249,8 +255,8 @@
     exchange.parser.body_limit(boost::none);
     if (exchange.work.message.method == "HEAD")
         exchange.parser.skip(true);
-    co_await http::async_read_header(
-        stream, exchange.connection->buffer, exchange.parser, asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_read_header(stream, exchange.connection->buffer, exchange.parser,
+        asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return co_await failed(exchange, error);
     if (exchange.parser.get().base().count("Not-Run") > 0)
@@ -313,7 +319,8 @@
     }
 }
 
-boost::asio::awaitable<void> cancelAtUpstream(NetworkState& state, Requests::WorkId work, Utils::UpstreamId upstream)
+boost::asio::awaitable<void> cancelAtUpstream(
+    NetworkState& state, Requests::WorkId work, Utils::UpstreamId upstream)
 {
     namespace http = boost::beast::http;
     if (state.routing->configuration == nullptr)
--- a/src/libs/gateway/upstreamexchange.h
+++ b/src/libs/gateway/upstreamexchange.h
@@ -12,6 +12,7 @@
 boost::asio::awaitable<void> runExchange(NetworkState& state, std::shared_ptr<HeldWork> work, RunWork run);
 
 /// Asks the upstream to stop a work; best effort.
-boost::asio::awaitable<void> cancelAtUpstream(NetworkState& state, Requests::WorkId work, Utils::UpstreamId upstream);
+boost::asio::awaitable<void> cancelAtUpstream(
+    NetworkState& state, Requests::WorkId work, Utils::UpstreamId upstream);
 
 } // namespace Gateway
--- a/src/libs/gateway/vmlistduty.cpp
+++ b/src/libs/gateway/vmlistduty.cpp
@@ -17,10 +17,7 @@
 {
 }
 
-VmListDuty::~VmListDuty()
-{
-    this->stop();
-}
+VmListDuty::~VmListDuty() { this->stop(); }
 
 void VmListDuty::start()
 {
@@ -55,7 +52,8 @@
     this->metrics.counters.add(Counter::VmListReads);
     leaf::try_handle_all(
         [this]() -> leaf::result<void> {
-            BOOST_LEAF_AUTO(entries, Platform::listVms({ this->endpoint.address, this->endpoint.port }, platformTimeout));
+            BOOST_LEAF_AUTO(
+                entries, Platform::listVms({ this->endpoint.address, this->endpoint.port }, platformTimeout));
             if (!this->toControl(VmsListed { std::move(entries) }))
                 this->metrics.counters.add(Counter::RingFull);
             return {};
--- a/src/libs/gateway/vmlistduty.h
+++ b/src/libs/gateway/vmlistduty.h
@@ -14,7 +14,8 @@
 /// The thread that reads the platform's VM list.
 class VmListDuty {
 public:
-    VmListDuty(const DaemonSettings& settings, GatewayMetrics& metrics, std::function<bool(ControlEvent)> toControl);
+    VmListDuty(
+        const DaemonSettings& settings, GatewayMetrics& metrics, std::function<bool(ControlEvent)> toControl);
     ~VmListDuty();
 
     void start();
--- a/src/libs/membership/health.cpp
+++ b/src/libs/membership/health.cpp
@@ -26,8 +26,8 @@
     return order;
 }
 
-std::set<Utils::VmId> heartbeatTargets(const std::set<Utils::VmId>& vms, const std::set<Utils::VmId>& partners,
-    const Utils::VmId& self, std::size_t limit)
+std::set<Utils::VmId> heartbeatTargets(const std::set<Utils::VmId>& vms,
+    const std::set<Utils::VmId>& partners, const Utils::VmId& self, std::size_t limit)
 {
     std::set<Utils::VmId> targets = partners;
     std::size_t others = 0;
--- a/src/libs/membership/proposal.cpp
+++ b/src/libs/membership/proposal.cpp
@@ -26,12 +26,13 @@
 bool canKeep(const ProposalInput& input, const VmStart& start)
 {
     const auto found = input.vms.find(start.vm);
-    return found != input.vms.end() && found->second.incarnation == start.incarnation && !found->second.leaving;
+    return found != input.vms.end() && found->second.incarnation == start.incarnation
+        && !found->second.leaving;
 }
 
 /// The best VM outside \a excluded: in the wanted region, away from \a avoidedZone, with the fewest duties.
-std::optional<VmStart> chooseVm(
-    const ProposalInput& input, const Utils::RegionId& region, const Utils::ZoneId& avoidedZone, const Utils::VmId& excluded)
+std::optional<VmStart> chooseVm(const ProposalInput& input, const Utils::RegionId& region,
+    const Utils::ZoneId& avoidedZone, const Utils::VmId& excluded)
 {
     std::set<Utils::VmId> names;
     for (const std::pair<const Utils::VmId, VmCandidate>& entry : input.vms) {
@@ -84,7 +85,8 @@
 std::vector<Utils::ShardId> shardsOf(const ProposalInput& input)
 {
     std::vector<Utils::ShardId> shards;
-    for (const std::pair<const Utils::KeyRangeId, Declarations::KeyRange>& entry : input.configuration.keyRanges) {
+    for (const std::pair<const Utils::KeyRangeId, Declarations::KeyRange>& entry :
+        input.configuration.keyRanges) {
         for (unsigned number = 0; entry.second.pool == input.pool && number < entry.second.shards; ++number)
             shards.push_back(Declarations::shardId(entry.second, number));
     }
@@ -113,7 +115,8 @@
         for (const std::pair<const Utils::UpstreamId, unsigned>& entry : this->counts) {
             if (entry.first == excluded)
                 continue;
-            const std::tuple<bool, double> cost(this->sameZone(entry.first, excluded), this->loadOf(entry.first));
+            const std::tuple<bool, double> cost(
+                this->sameZone(entry.first, excluded), this->loadOf(entry.first));
             if (best.value.empty() || cost < bestCost) {
                 best = entry.first;
                 bestCost = cost;
@@ -138,8 +141,8 @@
     std::map<Utils::UpstreamId, unsigned> counts;
 };
 
-Utils::UpstreamId keptOwner(
-    const ProposalInput& input, const PoolAssignment* current, const Utils::ShardId& shard, const Loads& loads)
+Utils::UpstreamId keptOwner(const ProposalInput& input, const PoolAssignment* current,
+    const Utils::ShardId& shard, const Loads& loads)
 {
     const auto served = input.served.find(shard);
     if (served != input.served.end() && loads.knows(served->second))
@@ -175,7 +178,8 @@
         const auto former = current == nullptr ? result.end() : current->shards.find(shard);
         const bool hasFormer = current != nullptr && former != current->shards.end();
         const Utils::UpstreamId kept = hasFormer ? former->second.standby : Utils::UpstreamId();
-        const bool keep = usable.contains(kept) && kept != assignment.owner && !standbys.sameZone(kept, assignment.owner);
+        const bool keep
+            = usable.contains(kept) && kept != assignment.owner && !standbys.sameZone(kept, assignment.owner);
         assignment.standby = keep ? kept : standbys.least(assignment.owner);
         if (!assignment.standby.value.empty())
             standbys.add(assignment.standby);
@@ -185,8 +189,9 @@
 
 bool sameAsCurrent(const AssignmentRecord& record, const PoolAssignment* current)
 {
-    return current != nullptr && record.dispatcher == current->dispatcher && record.successor == current->successor
-        && record.upstreams == current->upstreams && record.shards == current->shards;
+    return current != nullptr && record.dispatcher == current->dispatcher
+        && record.successor == current->successor && record.upstreams == current->upstreams
+        && record.shards == current->shards;
 }
 
 } // namespace Internal
--- a/src/libs/membership/proposal.h
+++ b/src/libs/membership/proposal.h
@@ -5,12 +5,12 @@
 
 #include <optional>
 
-/// When a pool needs a new assignment, who proposes it and what it says. The fold decides which proposal wins; this only
-/// keeps VMs from racing.
+/// When a pool needs a new assignment, who proposes it and what it says. The fold decides which proposal
+/// wins; this only keeps VMs from racing.
 namespace Membership {
 
-/// Whether this VM is the one to propose: the first alive of the pool's dispatcher, its successor, and the others in
-/// rendezvous order.
+/// Whether this VM is the one to propose: the first alive of the pool's dispatcher, its successor, and the
+/// others in rendezvous order.
 bool isProposer(const ProposalInput& input);
 
 /// The assignment that the pool should have, without its header; nothing when it has it, or none is possible.
--- /dev/null
+++ b/src/libs/platform/adminclient.cpp
@@ -0,0 +1,21 @@
+#include <platform/adminclient.h>
+
+#include <platform/httpcall.h>
+#include <platform/httpstatuscodes.h>
+
+#include <boost/leaf/error.hpp>
+
+namespace Platform {
+
+namespace leaf = boost::leaf;
+
+leaf::result<std::string> fetchStatus(const Endpoint& endpoint, Utils::Duration timeout)
+{
+    BOOST_LEAF_ASSIGN(const Internal::HttpAnswer answer,
+        Internal::callHttp(endpoint, Internal::HttpMethod::Get, "/status", {}, timeout));
+    if (answer.status != Internal::statusOk)
+        return leaf::new_error(PlatformError::UnexpectedStatus, HttpStatus { answer.status });
+    return answer.body;
+}
+
+} // namespace Platform
--- a/tests/auto/commands/tst_commandtable.cpp
+++ b/tests/auto/commands/tst_commandtable.cpp
@@ -1,65 +1,20 @@
-#include <commands/commandtable.h>
+#include "commandfixture.h"
 
 #include <boost/json/parse.hpp>
 
 #include <catch2/catch.hpp>
 
-#include <filesystem>
-#include <fstream>
-#include <iterator>
-#include <sstream>
 #include <string>
 #include <vector>
 
-#include <unistd.h>
-
+using CommandFixture::ChangedSet;
+using CommandFixture::run;
+using CommandFixture::RunResult;
 using Commands::ExitCode;
 
 namespace {
 
-const std::string demo = SHARE_FOLDER "/demo";
-
-/// A copy of the demonstration set in which one text is replaced; gone with the object.
-struct ChangedSet {
-    std::filesystem::path folder;
-
-    ChangedSet(
-        const std::string& name, const std::string& file, const std::string& from, const std::string& to)
-        : folder(
-            std::filesystem::temp_directory_path() / ("crocusferry-" + name + '-' + std::to_string(getpid())))
-    {
-        std::filesystem::remove_all(this->folder);
-        std::filesystem::copy(demo, this->folder);
-        const std::filesystem::path path = this->folder / file;
-        std::ifstream input(path);
-        std::string text((std::istreambuf_iterator<char>(input)), std::istreambuf_iterator<char>());
-        const std::string::size_type at = text.find(from);
-        REQUIRE(at != std::string::npos);
-        text.replace(at, from.size(), to);
-        std::ofstream(path) << text;
-    }
-    ChangedSet(const ChangedSet&) = delete;
-    ChangedSet& operator=(const ChangedSet&) = delete;
-    ~ChangedSet()
-    {
-        std::error_code error;
-        std::filesystem::remove_all(this->folder, error);
-    }
-};
-
-struct RunResult {
-    ExitCode code;
-    std::string out;
-    std::string error;
-};
-
-RunResult run(const std::vector<std::string>& arguments)
-{
-    std::ostringstream out;
-    std::ostringstream error;
-    const ExitCode code = Commands::runCommand(arguments, { out, error });
-    return { code, out.str(), error.str() };
-}
+const std::string demo = CommandFixture::demoFolder();
 
 /// A call and what it ends with.
 struct CallRow {
