Meter region links, bound request bodies, and count no memory gap before the first dispatcher

Large answers and requests that cross a metered link wait for, or are refused by, their rank's budget.

--- a/scripts/check-lint.sh
+++ b/scripts/check-lint.sh
@@ -23,4 +23,4 @@
     fi
 }
 export -f lint_one
-git ls-files -co --exclude-standard -- '*.cpp' | grep -v '_generated' | xargs -r -P "$(nproc)" -I{} bash -c 'lint_one {}'
+git ls-files -co --exclude-standard -- '*.cpp' | grep -v '_generated' | xargs -r -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'
--- a/src/libs/agreement/fold.cpp
+++ b/src/libs/agreement/fold.cpp
@@ -78,6 +78,7 @@
     if (!assignmentIsValid(state, record))
         return Verdict::InvalidAssignment;
     std::vector<FormerAssignment> formers;
+    const Utils::Offset first = isAssigned ? present->second.first : offset;
     if (isAssigned) {
         formers = present->second.formers;
         formers.push_back(formerOf(present->second));
@@ -85,7 +86,7 @@
     if (formers.size() > maxFormers)
         return Verdict::TooManyFormers;
     state.agreed.assignments[record.pool] = { record.pool, offset, record.dispatcher, record.successor,
-        record.upstreams, record.shards, std::move(formers) };
+        record.upstreams, record.shards, std::move(formers), first };
     return Verdict::Accepted;
 }
 
--- a/src/libs/agreement/poolassignment.h
+++ b/src/libs/agreement/poolassignment.h
@@ -23,6 +23,8 @@
     std::map<Utils::ShardId, ShardAssignment> shards;
     /// Earlier assignments that are not settled yet, oldest first.
     std::vector<FormerAssignment> formers;
+    /// Token of the first assignment that the pool ever had.
+    Utils::Offset first = 0;
 
     bool operator==(const PoolAssignment&) const = default;
 };
--- a/src/libs/agreement/recordencoder.cpp
+++ b/src/libs/agreement/recordencoder.cpp
@@ -80,6 +80,7 @@
     for (const FormerAssignment& former : assignment.formers)
         formers.emplace_back(formerToJson(former));
     object["formers"] = std::move(formers);
+    object["first"] = assignment.first;
     return object;
 }
 
--- a/src/libs/agreement/statedecoder.cpp
+++ b/src/libs/agreement/statedecoder.cpp
@@ -37,7 +37,7 @@
 {
     BOOST_LEAF_ASSIGN(const json::object* const object, toObject(value, "assignments"));
     BOOST_LEAF_CHECK(checkFields(
-        *object, { "pool", "token", "dispatcher", "successor", "upstreams", "shards", "formers" }));
+        *object, { "pool", "token", "dispatcher", "successor", "upstreams", "shards", "formers", "first" }));
     PoolAssignment assignment;
     BOOST_LEAF_ASSIGN(assignment.pool.value, textField(*object, "pool", maxNameBytes));
     BOOST_LEAF_CHECK(readAssignment(assignment, *object));
@@ -48,6 +48,7 @@
         BOOST_LEAF_ASSIGN(FormerAssignment read, formerFromJson(former));
         assignment.formers.push_back(std::move(read));
     }
+    BOOST_LEAF_ASSIGN(assignment.first, numberField(*object, "first"));
     return assignment;
 }
 
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -25,7 +25,7 @@
         return;
     ShardPlace& place = state.shards[shard];
     place.unownedSince = now;
-    place.rememberedSince = now;
+    place.rememberedSince = state.rememberedSince.value_or(now);
 }
 
 /// Queues a work that was not refused, and starts what can be started.
--- a/src/libs/dispatch/dispatcher.h
+++ b/src/libs/dispatch/dispatcher.h
@@ -51,6 +51,9 @@
 /// Another VM may have dispatched for this pool until now: repeats of ids that it may have run are not run.
 void takeOver(DispatchState& state, Utils::Instant now);
 
+/// Nobody has dispatched for this pool before: no id can have run that is not remembered.
+void rememberFromStart(DispatchState& state);
+
 /// This VM stops: queued works are answered at once, running ones finish, new ones are refused.
 std::vector<Action> drain(DispatchState& state, Utils::Instant now);
 
--- a/src/libs/dispatch/dispatchstate.h
+++ b/src/libs/dispatch/dispatchstate.h
@@ -14,6 +14,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -36,6 +37,9 @@
     /// Works in \c ShardPlace::waiting of all shards.
     std::size_t waitingForOwner = 0;
     RequestMemory memory;
+    /// Request ids of shards not seen yet are remembered from here on; nothing: from when they are first
+    /// seen.
+    std::optional<Utils::Instant> rememberedSince;
     PoisonTable poison;
     /// Budget of second and further starts, by rank.
     Requests::RetryState restarts;
--- a/src/libs/dispatch/placement.cpp
+++ b/src/libs/dispatch/placement.cpp
@@ -21,7 +21,7 @@
         return found->second;
     ShardPlace& place = state.shards[shard];
     place.unownedSince = now;
-    place.rememberedSince = now;
+    place.rememberedSince = state.rememberedSince.value_or(now);
     return place;
 }
 
@@ -110,4 +110,11 @@
         shard.second.rememberedSince = now;
 }
 
+void rememberFromStart(DispatchState& state)
+{
+    state.rememberedSince = Utils::Instant::min();
+    for (std::pair<const Utils::ShardId, ShardPlace>& shard : state.shards)
+        shard.second.rememberedSince = Utils::Instant::min();
+}
+
 } // namespace Dispatch
--- a/src/libs/gateway/callerrelay.cpp
+++ b/src/libs/gateway/callerrelay.cpp
@@ -4,6 +4,7 @@
 #include <gateway/callerwriter.h>
 #include <gateway/gatewayconstants.h>
 #include <gateway/heldworks.h>
+#include <gateway/linkmeter.h>
 #include <gateway/links.h>
 #include <gateway/poolpolicy.h>
 #include <gateway/requestfault.h>
@@ -61,8 +62,10 @@
     return message;
 }
 
-/// Sends the request to the dispatcher of this turn; false when it isn't known where that is.
-bool sendAttempt(Relay& relay, const Route& route)
+AttemptResult lost(Requests::Reason reason) { return { reason, defaultRetryAfter, true }; }
+
+/// Sends the request to the dispatcher of this turn; gives the result when it can't be sent.
+std::optional<AttemptResult> sendAttempt(Relay& relay, const Route& route)
 {
     NetworkState& state = relay.state;
     relay.number = ++state.lastAttempt;
@@ -71,14 +74,18 @@
     const Utils::VmId& vm = dispatcherFor(route.dispatchers, relay.searches);
     if (vm == state.settings.name) {
         pending.localWork = holdWork(state, { std::nullopt, relay.number }, messageFor(relay, route));
-        return true;
+        return std::nullopt;
     }
+    const Requests::LinkDecision crossing
+        = takeLinkTo(state, vm, relay.request.rank, relay.request.body.size());
+    if (!crossing.allowed)
+        return AttemptResult { Requests::Reason::LinkBudget, crossing.retryAfter, true };
     const std::shared_ptr<PeerLink> link = linkTo(state, vm);
     if (link == nullptr)
-        return false;
+        return lost(Requests::Reason::DispatcherUnreachable);
     pending.link = link->id;
     sendOnLink(state, *link, messageFor(relay, route));
-    return true;
+    return std::nullopt;
 }
 
 void cancelAttempt(Relay& relay)
@@ -109,8 +116,6 @@
         sendOnLink(relay.state, *link->second, Wire::AnswerCredit { relay.number, bytes });
 }
 
-AttemptResult lost(Requests::Reason reason) { return { reason, defaultRetryAfter, true }; }
-
 /// Passes on the rest of an answer that is too large to hold.
 asio::awaitable<AttemptResult> streamAnswer(
     Relay& relay, const std::shared_ptr<AnswerPipe>& pipe, const Wire::AnswerHead& head, std::string held)
@@ -186,9 +191,10 @@
 asio::awaitable<AttemptResult> runAttempt(Relay& relay, const Route& route)
 {
     using namespace asio::experimental::awaitable_operators;
-    if (!sendAttempt(relay, route)) {
+    const std::optional<AttemptResult> notSent = sendAttempt(relay, route);
+    if (notSent) {
         relay.state.pending.erase(relay.number);
-        co_return lost(Requests::Reason::DispatcherUnreachable);
+        co_return *notSent;
     }
     const std::shared_ptr<AnswerPipe> pipe = relay.state.pending.at(relay.number).pipe;
     std::variant<AttemptResult, std::monostate> first
--- a/src/libs/gateway/callers.cpp
+++ b/src/libs/gateway/callers.cpp
@@ -89,6 +89,16 @@
     co_return false;
 }
 
+asio::awaitable<bool> serveWhole(
+    NetworkState& state, CallerConnection& caller, RequestParser& parser, CallerRequest request)
+{
+    if (!co_await readBody(caller, parser))
+        co_return co_await refuse(state, caller, Requests::Reason::BadRequest);
+    request.body = std::move(parser.get().body());
+    caller.stream.expires_never();
+    co_return co_await relayRequest(state, caller, std::move(request));
+}
+
 asio::awaitable<bool> serveChecked(
     NetworkState& state, CallerConnection& caller, RequestParser& parser, CallerRequest request)
 {
--- a/src/libs/gateway/daemonsettings.cpp
+++ b/src/libs/gateway/daemonsettings.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint64_t highestPort = 65535;
 constexpr std::uint64_t maxConnectionSetting = 100'000;
 constexpr std::uint64_t maxRequestSetting = 1'000'000;
+constexpr std::uint64_t maxBodySetting = 65536;
+constexpr std::uint64_t bytesPerMebibyte = 1 << 20;
 constexpr std::uint64_t maxRetentionSeconds = 366ULL * 24 * 3600;
 
 leaf::result<std::uint16_t> portValue(const Settings::SettingValues& values, const std::string& name)
@@ -77,6 +79,7 @@
         { "max-caller-connections", "CROCUSFERRY_MAX_CALLER_CONNECTIONS",
             "Callers' connections held at a time.", "2000" },
         { "max-requests", "CROCUSFERRY_MAX_REQUESTS", "Requests in hand at a time.", "8000" },
+        { "max-body-mib", "CROCUSFERRY_MAX_BODY_MIB", "MiB of request bodies held at a time.", "256" },
     };
     return specs;
 }
@@ -92,6 +95,9 @@
             Internal::maxConnectionSetting));
     BOOST_LEAF_ASSIGN(settings.maxRequests,
         Settings::numberValue("max-requests", values.at("max-requests"), 1, Internal::maxRequestSetting));
+    BOOST_LEAF_AUTO(mebibytes,
+        Settings::numberValue("max-body-mib", values.at("max-body-mib"), 1, Internal::maxBodySetting));
+    settings.maxBodyBytes = mebibytes * Internal::bytesPerMebibyte;
     return settings;
 }
 
--- a/src/libs/gateway/daemonsettings.h
+++ b/src/libs/gateway/daemonsettings.h
@@ -33,6 +33,8 @@
     std::uint64_t maxCallerConnections = 0;
     /// Requests in hand at a time, as entry and as dispatcher each.
     std::uint64_t maxRequests = 0;
+    /// Bytes of request bodies held at a time.
+    std::uint64_t maxBodyBytes = 0;
 };
 
 /// The settings that the daemon takes.
--- a/src/libs/gateway/dispatchduty.cpp
+++ b/src/libs/gateway/dispatchduty.cpp
@@ -87,7 +87,10 @@
     const Utils::Instant now = Utils::monotonicNow();
     if (event.dispatching && !pool.dispatching) {
         this->configurePool(event.pool, pool);
-        Dispatch::takeOver(pool.state, now);
+        if (event.first)
+            Dispatch::rememberFromStart(pool.state);
+        else
+            Dispatch::takeOver(pool.state, now);
     }
     pool.dispatching = event.dispatching;
     const std::map<Utils::ShardId, ServingEntry> before = std::move(pool.serving);
--- a/src/libs/gateway/granters.cpp
+++ b/src/libs/gateway/granters.cpp
@@ -10,12 +10,17 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace Gateway {
 
 namespace Internal {
 
 using Ownership::GranterState;
 
+/// Epoch of the dispatcher that an assignment names, before any takeover.
+constexpr std::uint32_t firstEpoch = 1;
+
 bool names(const Agreement::VmStart& start, const Agreement::VmStart& self) { return start == self; }
 
 bool concerns(const Agreement::PoolAssignment& assignment, const Agreement::VmStart& self)
@@ -86,6 +91,7 @@
     ServingChanged serving;
     serving.pool = pool;
     serving.dispatching = granter.role == Ownership::GranterRole::Granting;
+    serving.first = granter.level == Ownership::GrantLevel { granter.assignment.first, firstEpoch };
     for (const std::pair<const Utils::ShardId, Utils::UpstreamId>& entry : granter.served) {
         const std::optional<Utils::Instant> until
             = Ownership::Internal::servableUntil(granter, entry.second, entry.first);
--- a/src/libs/gateway/heldworks.cpp
+++ b/src/libs/gateway/heldworks.cpp
@@ -47,6 +47,8 @@
         return Requests::Reason::ShuttingDown;
     if (state.works.size() >= state.settings.maxRequests)
         return Requests::Reason::EntryOverloaded;
+    if (state.bodyBytes + message.body.size() > state.settings.maxBodyBytes)
+        return Requests::Reason::EntryOverloaded;
     if (message.timeout <= Utils::Duration(0) || message.timeout > maxRequestTimeout)
         return Requests::Reason::DeadlinePassed;
     if (!message.idempotent && message.requestId.value.empty())
@@ -88,6 +90,7 @@
     }
     state.works[work->id] = work;
     state.worksByOrigin[origin] = work->id;
+    state.bodyBytes += work->message.body.size();
     state.worksInHand = state.works.size();
     state.metrics.counters.add(Counter::WorksHeld);
     if (!state.toDispatch(SubmitWork { work->message.pool, Internal::describe(*work) })) {
@@ -144,6 +147,7 @@
     if (found == state.works.end())
         return;
     state.worksByOrigin.erase(found->second->origin);
+    state.bodyBytes -= found->second->message.body.size();
     state.works.erase(found);
     state.worksInHand = state.works.size();
 }
--- a/src/libs/gateway/holdercalls.cpp
+++ b/src/libs/gateway/holdercalls.cpp
@@ -105,6 +105,8 @@
         return;
     }
     UpstreamHealth& health = state.upstreams[id];
+    if (health.incarnation != 0 && health.incarnation != answer->incarnation)
+        reportCold(state, id);
     health.incarnation = answer->incarnation;
     health.lastHeard = Utils::monotonicNow();
 }
--- a/src/libs/gateway/networkduty.cpp
+++ b/src/libs/gateway/networkduty.cpp
@@ -2,6 +2,7 @@
 
 #include <gateway/callers.h>
 #include <gateway/heldworks.h>
+#include <gateway/linkmeter.h>
 #include <gateway/links.h>
 
 #include <boost/asio/co_spawn.hpp>
--- a/src/libs/gateway/networkstate.h
+++ b/src/libs/gateway/networkstate.h
@@ -9,6 +9,7 @@
 #include <gateway/routingtable.h>
 #include <gateway/storedanswer.h>
 #include <gateway/upstreamconnection.h>
+#include <requests/linkbudget.h>
 #include <requests/retrystate.h>
 
 #include <boost/asio/io_context.hpp>
@@ -45,6 +46,8 @@
     std::uint64_t lastAttempt = 0;
     std::unordered_map<std::uint64_t, PendingAttempt> pending;
     Requests::RetryState retries;
+    /// What this VM may send to each other region.
+    std::map<Utils::RegionId, Requests::LinkBudget> linkBudgets;
 
     std::uint64_t lastLink = 0;
     std::map<LinkId, std::shared_ptr<PeerLink>> links;
@@ -60,6 +63,8 @@
     std::map<Requests::WorkId, StoredAnswer> undecided;
     std::map<Utils::UpstreamId, std::vector<std::unique_ptr<UpstreamConnection>>> idle;
 
+    /// Bytes of request bodies held, as entry and as dispatcher.
+    std::uint64_t bodyBytes = 0;
     /// Callers' connections, callers' requests in hand, held works.
     std::atomic<std::uint64_t> connections = 0;
     std::atomic<std::uint64_t> requestsInHand = 0;
--- a/src/libs/gateway/servingchanged.h
+++ b/src/libs/gateway/servingchanged.h
@@ -12,6 +12,8 @@
     Utils::PoolId pool;
     /// Whether this VM is the pool's granter; if not, work for the pool is refused.
     bool dispatching = false;
+    /// Whether nobody has dispatched for the pool before.
+    bool first = false;
     std::map<Utils::ShardId, ServingEntry> shards;
 };
 
--- a/src/libs/gateway/upstreamexchange.cpp
+++ b/src/libs/gateway/upstreamexchange.cpp
@@ -2,6 +2,7 @@
 
 #include <gateway/gatewayconstants.h>
 #include <gateway/heldworks.h>
+#include <gateway/linkmeter.h>
 #include <gateway/poolpolicy.h>
 #include <gateway/requesthead.h>
 #include <gateway/upstreamanswer.h>
@@ -189,6 +190,35 @@
     exchange.buffered.clear();
 }
 
+asio::awaitable<void> pauseFor(NetworkState& state, Utils::Duration duration)
+{
+    boost::system::error_code error;
+    asio::steady_timer timer(state.context, duration);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+}
+
+/// The VM that the answer goes to; this one for its own callers.
+Utils::VmId entryOf(const Exchange& exchange)
+{
+    if (!exchange.work.origin.link)
+        return exchange.state.settings.name;
+    const auto link = exchange.state.links.find(*exchange.work.origin.link);
+    return link == exchange.state.links.end() ? Utils::VmId() : link->second->vm;
+}
+
+/// Holds a large answer back while the link to the entry's region has no room for its rank.
+asio::awaitable<void> awaitLink(Exchange& exchange, std::uint64_t bytes)
+{
+    const Utils::Instant limit = Utils::monotonicNow() + callerTransferTimeout;
+    while (!exchange.work.abandoned && Utils::monotonicNow() < limit) {
+        const Requests::LinkDecision crossing
+            = takeLinkTo(exchange.state, entryOf(exchange), exchange.work.message.rank, bytes);
+        if (crossing.allowed)
+            co_return;
+        co_await pauseFor(exchange.state, crossing.retryAfter);
+    }
+}
+
 /// Waits until the entry has room; false when it made no progress for long, or has gone.
 asio::awaitable<bool> awaitCredit(Exchange& exchange)
 {
@@ -214,13 +244,13 @@
         if (error)
             co_return co_await failed(exchange, error);
         if (exchange.work.answerBegun || exchange.answerBytes > answerHoldBytes) {
+            co_await awaitLink(exchange, exchange.buffered.size());
             passOn(exchange);
             if (!co_await awaitCredit(exchange))
                 co_return resultOf(WorkResultKind::Lost);
         }
     }
     WorkResult result = resultOf(WorkResultKind::Done);
-    result.serviceTime = Utils::monotonicNow() - exchange.sentAt;
     result.answerBytes = exchange.answerBytes;
     result.wholeAnswer = exchange.answerBytes <= answerHoldBytes;
     co_return result;
@@ -286,6 +316,7 @@
 
 void finishDone(Exchange& exchange, const WorkResult& result)
 {
+    chargeLinkTo(exchange.state, entryOf(exchange), exchange.work.message.rank, exchange.buffered.size());
     passOn(exchange);
     sendToOrigin(exchange.state, exchange.work, Wire::AnswerEnd { 0, true });
     if (result.wholeAnswer)
@@ -305,6 +336,8 @@
         = Internal::resultOf(Dispatch::WorkResultKind::NotRun, Requests::Reason::UpstreamUnreachable);
     if (exchange.connection != nullptr)
         result = co_await Internal::sendAndRead(exchange);
+    if (exchange.sentAt != Utils::Instant())
+        result.serviceTime = Utils::monotonicNow() - exchange.sentAt;
     if (result.kind == Dispatch::WorkResultKind::Done)
         Internal::finishDone(exchange, result);
     if (result.kind == Dispatch::WorkResultKind::TimedOut)
@@ -314,8 +347,7 @@
         Internal::keepConnection(exchange);
     while (!state.toDispatch(WorkFinished { work->message.pool, work->id, result })) {
         state.metrics.counters.add(Counter::RingFull);
-        boost::asio::steady_timer pause(state.context, std::chrono::milliseconds(1));
-        co_await pause.async_wait(boost::asio::use_awaitable);
+        co_await Internal::pauseFor(state, std::chrono::milliseconds(1));
     }
 }
 
