Let work in for a quarter of its time limit and give it up at half

Work was let in up to the wait at which it was given up, so that a little more than the expected wait cost it half of its time and then a refusal.

--- a/src/libs/dispatch/capacity.cpp
+++ b/src/libs/dispatch/capacity.cpp
@@ -135,13 +135,15 @@
 Utils::Duration admissionBound(const DispatchState& state, const UpstreamState& upstream, std::size_t rank,
     const Requests::Work& work, Utils::Instant now)
 {
-    const Utils::Duration half = (work.deadline - now) / 2;
+    const Utils::Duration calm = (work.deadline - now) / admissionDivisor;
     const Utils::Duration target = state.ranks[rank].target;
     const bool isOverloaded = now < upstream.lanes[rank].overloadedUntil;
     if (!isOverloaded || target.count() == 0)
-        return half;
-    const Utils::Duration least = minBoundServices * expectedService(upstream, rank, now);
-    return std::min(half, std::max(target / 2, least));
+        return calm;
+    const Utils::Duration service = expectedService(upstream, rank, now);
+    const double rate = slotsOf(upstream) * capacityShare(state, upstream, rank);
+    const Utils::Duration least = service + scaled(service, minQueuedTurns / rate);
+    return std::min(calm, std::max(scaled(target, overloadTargetShare), least));
 }
 
 Utils::Duration comeBack(const DispatchState& state, UpstreamState& upstream, std::size_t rank,
--- a/src/libs/dispatch/capacity.h
+++ b/src/libs/dispatch/capacity.h
@@ -31,9 +31,8 @@
 Utils::Duration expectedWait(const DispatchState& state, const UpstreamState& upstream, std::size_t rank,
     std::size_t ahead, Utils::Instant now);
 
-/// How long a work of the rank may be expected to take from arrival to answer for it to be let in: half of
-/// its time limit, or half of the rank's target while the rank is overloaded. The other half is for what is
-/// not as expected.
+/// How long a work of the rank may be expected to take from arrival to answer for it to be let in: a part of
+/// its time limit, or \c overloadTargetShare of the rank's target while the rank is overloaded.
 Utils::Duration admissionBound(const DispatchState& state, const UpstreamState& upstream, std::size_t rank,
     const Requests::Work& work, Utils::Instant now);
 
--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -30,8 +30,14 @@
 inline constexpr Utils::Duration unservedRetryAfter = std::chrono::milliseconds(500);
 /// A rank counts as overloaded for this many of its targets after a work was refused because of the queue.
 inline constexpr int overloadTargets = 2;
-/// A queue takes at least work that is answered within this many service times, however slow the upstream is.
-inline constexpr int minBoundServices = 3;
+/// Work is let in while its answer is expected within its time limit divided by this.
+inline constexpr int admissionDivisor = 4;
+/// A queued work is given up when its time limit divided by this has gone by.
+inline constexpr int giveUpDivisor = 2;
+/// Part of its target for which an overloaded rank lets work in; the rest is for what is not as expected.
+inline constexpr double overloadTargetShare = 0.4;
+/// An overloaded rank lets in this many works to wait, however slow they are served.
+inline constexpr double minQueuedTurns = 3;
 /// Shortest time that a caller is told to stay away.
 inline constexpr Utils::Duration minRetryAfter = std::chrono::milliseconds(10);
 /// Smallest share of the slots that a rank is believed to get.
--- a/src/libs/dispatch/lanes.cpp
+++ b/src/libs/dispatch/lanes.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Most turns that a caller passes in a row.
-constexpr int maxPassedTurns = 8;
+constexpr int maxPassedTurns = 2;
 
 void dropIfIdle(Lane& lane, const std::string& caller)
 {
--- a/src/libs/dispatch/queueing.cpp
+++ b/src/libs/dispatch/queueing.cpp
@@ -24,13 +24,13 @@
     state.giveUps.emplace(at, entry.work.id);
 }
 
-/// How long a work may wait for what is not there: at most half of its time, so that its caller can come
+/// How long a work may wait for what is not there: at most a part of its time, so that its caller can come
 /// back.
 Utils::Instant waitEnd(
     const DispatchState& state, const WorkEntry& entry, Utils::Instant since, Utils::Instant now)
 {
-    const Utils::Instant half = now + (entry.work.deadline - now) / 2;
-    return std::min(since + state.options.caps.ownerWait, half);
+    const Utils::Instant part = now + (entry.work.deadline - now) / giveUpDivisor;
+    return std::min(since + state.options.caps.ownerWait, part);
 }
 
 Reason unusableReason(const UpstreamState& upstream)
@@ -54,9 +54,9 @@
         setGiveUp(state, entry, end, unusableReason(upstream));
         return;
     }
-    const Utils::Instant half = now + (entry.work.deadline - now) / 2;
+    const Utils::Instant part = now + (entry.work.deadline - now) / giveUpDivisor;
     const Utils::Instant latest = entry.work.deadline - expectedService(upstream, entry.rank, now);
-    setGiveUp(state, entry, std::min(half, latest), Reason::DeadlinePassed);
+    setGiveUp(state, entry, std::min(part, latest), Reason::DeadlinePassed);
 }
 
 /// Works that wait for an unusable upstream already keep their time.
