Explore the ownership rule over the product's own functions

The explorer drives install, takeOver, tick, the answers and the peer messages of the granter and the holder's side through every event of a small instance, tick by tick, in canonical form. First finds, mended: a granter repeated a grant without pause to an upstream that had restarted (the refusal came back at once and was not entered), and it went on passing requests for a shard whose withdrawal was already under way.

--- a/src/libs/ownership/holderanswers.cpp
+++ b/src/libs/ownership/holderanswers.cpp
@@ -8,13 +8,14 @@
 
 namespace {
 
-/// Forgets the start that answered before. That some start was fenced stays known.
-void startAnew(UpstreamView& view, Utils::Incarnation incarnation)
+/// Forgets the start that answered before, and asks the new one at once. That some start was fenced stays
+/// known.
+void startAnew(UpstreamView& view, Utils::Incarnation incarnation, Utils::Instant now)
 {
     UpstreamView fresh;
     fresh.incarnation = incarnation;
     fresh.fencedAt = view.fencedAt;
-    fresh.nextAskAt = view.nextAskAt;
+    fresh.nextAskAt = now;
     fresh.sequence = view.sequence;
     view = fresh;
 }
@@ -57,21 +58,19 @@
     const bool otherStart = view.incarnation != 0 && answer.incarnation != view.incarnation;
     if (otherStart && answer.incarnation == named)
         return;
-    if (checks && answer.level != state.level) {
-        view.nextAskAt = now;
-        return;
-    }
-    const bool first = view.incarnation == 0 || otherStart;
     if (otherStart)
-        startAnew(view, answer.incarnation);
+        startAnew(view, answer.incarnation, now);
+    if (checks && answer.level != state.level)
+        return;
     view.incarnation = answer.incarnation;
     recordClock(view, ask, answer, now);
     if (!checks)
         return;
+    if (!view.fenced)
+        recordHeld(state, view, answer, now);
+    view.fenced = true;
     if (!view.fencedAt.has_value())
         view.fencedAt = now;
-    if (first)
-        recordHeld(state, view, answer, now);
     if (answer.incarnation == named || waived(state, Guard::NamedUpstreamAttests)) {
         const Utils::Instant proof = waived(state, Guard::ProofFromAsk) ? now : ask.askedAt;
         view.proofAskedAt = std::max(view.proofAskedAt, std::optional<Utils::Instant>(proof));
--- a/src/libs/ownership/serving.cpp
+++ b/src/libs/ownership/serving.cpp
@@ -20,6 +20,14 @@
     return found == view.sent.end() ? nullptr : &*found;
 }
 
+/// Whether a later grant, answered or not, takes \a shard away.
+bool takenAway(const UpstreamView& view, const Utils::ShardId& shard)
+{
+    return std::any_of(view.sent.begin(), view.sent.end(), [&](const SentGrant& grant) {
+        return grant.sequence > view.ackedSequence && !grant.shards.contains(shard);
+    });
+}
+
 bool mayServe(const GranterState& state, const Utils::UpstreamId& holder, const Utils::ShardId& shard,
     Utils::Instant now)
 {
@@ -55,7 +63,7 @@
         return std::nullopt;
     const UpstreamView& view = found->second;
     const SentGrant* grant = ackedGrant(view);
-    if (grant == nullptr || !grant->shards.contains(shard))
+    if (grant == nullptr || !grant->shards.contains(shard) || takenAway(view, shard))
         return std::nullopt;
     const Utils::Duration left(grant->expiresAt - view.clock);
     const std::int64_t slow = 1000 + state.options.lease.driftPerMille;
--- a/src/libs/ownership/settlement.cpp
+++ b/src/libs/ownership/settlement.cpp
@@ -31,13 +31,16 @@
     const Utils::UpstreamId& holder, const Utils::ShardId& shard)
 {
     const std::map<Utils::UpstreamId, UpstreamView>::const_iterator found = state.upstreams.find(holder);
-    if (found == state.upstreams.end() || !found->second.fencedAt.has_value())
+    if (found == state.upstreams.end() || found->second.incarnation == 0)
         return std::nullopt;
     const UpstreamView& view = found->second;
     const std::map<Utils::UpstreamId, Utils::Incarnation>::const_iterator named
         = earlier.upstreams.find(holder);
-    const bool replaced = named == earlier.upstreams.end() || named->second != view.incarnation;
-    if (replaced || !view.held.contains(shard) || waived(state, Guard::WaitNamedLease))
+    if (named == earlier.upstreams.end() || named->second != view.incarnation)
+        return Utils::Instant::min();
+    if (!view.fenced)
+        return std::nullopt;
+    if (!view.held.contains(shard) || waived(state, Guard::WaitNamedLease))
         return view.fencedAt;
     return view.heldUntil;
 }
--- a/src/libs/ownership/upstreamview.h
+++ b/src/libs/ownership/upstreamview.h
@@ -15,6 +15,8 @@
 struct UpstreamView {
     /// The start that answered last; 0 before the first answer.
     Utils::Incarnation incarnation = 0;
+    /// Whether that start has answered at the granter's level.
+    bool fenced = false;
     /// When the first answer at the granter's level arrived, from whichever start.
     std::optional<Utils::Instant> fencedAt;
     /// Newest clock that it showed, when that was asked and when the answer arrived.
--- /dev/null
+++ b/tests/explorer/event.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstddef>
+
+namespace Explorer {
+
+/// Something that can happen in a world.
+enum class EventKind {
+    DeliverLate,
+    RepeatLate,
+    Tick,
+    ReadLog,
+    TakeOver,
+    HandOver,
+    RestartVm,
+    RestartUpstream,
+    Append,
+    Settle,
+    /// Time passes; \c index names a process whose clock misses the tick, or none.
+    Advance,
+};
+
+/// One event and the VM, upstream or message that it happens to.
+struct Event {
+    EventKind kind = EventKind::Advance;
+    std::size_t index = 0;
+};
+
+/// Index of an Advance in which no clock misses the tick.
+inline constexpr std::size_t noStall = 99;
+
+} // namespace Explorer
--- /dev/null
+++ b/tests/explorer/recordplan.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstddef>
+
+namespace Explorer {
+
+/// One assignment record that the log of an instance can get, by indexes of VMs and upstreams.
+struct RecordPlan {
+    std::size_t dispatcher = 0;
+    std::size_t successor = 1;
+    std::size_t owner = 0;
+    std::size_t standby = 1;
+};
+
+} // namespace Explorer
--- /dev/null
+++ b/tests/explorer/search.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "instance.h"
+#include "searchresult.h"
+
+#include <cstddef>
+
+namespace Explorer {
+
+/// Visits every state of \a instance breadth-first, tick by tick, until a promise is broken, the horizon is
+/// reached, or \a maxStates were seen.
+SearchResult explore(const Instance& instance, std::size_t maxStates);
+
+} // namespace Explorer
--- /dev/null
+++ b/tests/explorer/vm.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "digest.h"
+
+#include <ownership/granterstate.h>
+#include <utils/ids.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace Explorer {
+
+inline constexpr std::size_t upstreamCount = 3;
+
+/// One VM of a world.
+struct Vm {
+    Utils::Incarnation incarnation = 1;
+    /// Records of the log that it has read.
+    std::size_t read = 0;
+    /// Whether its timer has run in this tick.
+    bool ticked = false;
+    Ownership::GranterState state;
+    /// Ticks for which a request of any start of it may still be in flight to each upstream.
+    std::array<std::uint8_t, upstreamCount> inFlight {};
+    /// Stands for all of the above once the VM is in canonical form.
+    Digest digest;
+};
+
+} // namespace Explorer
