--- a/src/libs/ownership/granterpeers.cpp
+++ b/src/libs/ownership/granterpeers.cpp
@@ -18,7 +18,8 @@
     const bool attested = Internal::attestsTo(state, from, request.level);
     if (attested && request.level.epoch == 1)
         state.dispatcherHeardAt = now;
-    const AttestAnswer answer { request.pool, request.level, request.ask, state.highest, attested };
+    const GrantLevel highest = attested ? request.level : state.highest;
+    const AttestAnswer answer { request.pool, request.level, request.ask, highest, attested };
     actions.push_back(SendPeer { from, answer });
 }
 
--- a/src/libs/ownership/settlement.cpp
+++ b/src/libs/ownership/settlement.cpp
@@ -13,6 +13,13 @@
 using MaybeInstant = std::optional<Utils::Instant>;
 using ShardPairs = std::map<Utils::ShardId, Agreement::ShardAssignment>;
 
+MaybeInstant earliest(const MaybeInstant& first, const MaybeInstant& second)
+{
+    if (!first.has_value() || !second.has_value())
+        return first.has_value() ? first : second;
+    return std::min(first, second);
+}
+
 bool inPair(const Agreement::ShardAssignment& pair, const Utils::UpstreamId& upstream)
 {
     return upstream == pair.owner || upstream == pair.standby;
@@ -86,11 +93,14 @@
     const std::vector<MaybeInstant> ended = attestorsEnded(state, pair, otherVm, holder);
     if (ended.empty())
         return std::nullopt;
-    MaybeInstant last;
+    MaybeInstant last = ended.front();
     for (const MaybeInstant& end : ended) {
-        if (!end.has_value() && !waived(state, Guard::EveryAttestor))
+        if (waived(state, Guard::EveryAttestor))
+            last = earliest(last, end);
+        else if (!end.has_value())
             return std::nullopt;
-        last = std::max(last, end);
+        else
+            last = std::max(last, end);
     }
     if (!last.has_value())
         return std::nullopt;
@@ -102,13 +112,6 @@
 
 bool passed(const MaybeInstant& end, Utils::Instant now) { return end.has_value() && *end <= now; }
 
-MaybeInstant earliest(const MaybeInstant& first, const MaybeInstant& second)
-{
-    if (!first.has_value() || !second.has_value())
-        return first.has_value() ? first : second;
-    return std::min(first, second);
-}
-
 MaybeInstant clearOfGranter(const GranterState& state, const Agreement::ShardAssignment& pair,
     const Agreement::VmStart& granter, const Agreement::VmStart& otherVm, const Utils::UpstreamId& holder)
 {
--- a/tests/explorer/instances.cpp
+++ b/tests/explorer/instances.cpp
@@ -23,6 +23,12 @@
     return instance;
 }
 
+Instance withWindow(Instance instance, unsigned proofWindow)
+{
+    instance.proofWindow = proofWindow;
+    return instance;
+}
+
 Instance withRestarts(Instance instance, unsigned restarts)
 {
     instance.restarts = restarts;
@@ -90,7 +96,7 @@
     const Instance late = withLate(takeover, 1);
     const Instance record = withRecord(takeover, movedToThirdVm);
     instances.push_back(without(Guard::AttestedGrant, takeover));
-    instances.push_back(without(Guard::ProofFromAsk, late));
+    instances.push_back(without(Guard::ProofFromAsk, withWindow(late, 0)));
     instances.push_back(without(Guard::HolderIsNoAttestor, takeover));
     instances.push_back(
         without(Guard::NamedUpstreamAttests, withRestarts(withRecord(takeover, movedToThirdUpstream), 1)));
@@ -98,9 +104,9 @@
     instances.push_back(without(Guard::NamedVmStart, withRestarts(record, 1)));
     instances.push_back(without(Guard::HigherLevelEndsAttesting, takeover));
     instances.push_back(without(Guard::SettleEarlier, takeover));
-    instances.push_back(without(Guard::WaitNamedLease, takeover));
+    instances.push_back(without(Guard::WaitNamedLease, late));
     instances.push_back(without(Guard::WaitOwnGrants, takeover));
-    instances.push_back(without(Guard::CountUnanswered, takeover));
+    instances.push_back(without(Guard::CountUnanswered, late));
     instances.push_back(without(Guard::EveryAttestor, takeover));
     instances.push_back(without(Guard::WaitProofWindow, takeover));
     instances.push_back(without(Guard::EveryEarlierGranter, record));
