Show what is in force, where each VM stands, and what is agreed as it comes

show and watch read and fold the log like a VM does. status asks every VM on the list for its own word, several at a time, and goes on when the log is down. A VM without an answer counts as lagging.

--- a/src/libs/commands/commandtable.cpp
+++ b/src/libs/commands/commandtable.cpp
@@ -3,6 +3,9 @@
 #include <commands/checkcommand.h>
 #include <commands/diffcommand.h>
 #include <commands/publishcommand.h>
+#include <commands/showcommand.h>
+#include <commands/statuscommand.h>
+#include <commands/watchcommand.h>
 
 #include <iomanip>
 
@@ -31,6 +34,9 @@
         { "check", "check a set of declarations and list every fault", runCheck },
         { "diff", "list what changes from one set to another", runDiff },
         { "publish", "put a set in force in place of the one it was made from", runPublish },
+        { "show", "show the configuration in force and the assignments", runShow },
+        { "status", "show where each VM stands against the log", runStatus },
+        { "watch", "write what is agreed as it comes", runWatch },
     };
     return table;
 }
