--- a/src/libs/dispatch/capacity.cpp
+++ b/src/libs/dispatch/capacity.cpp
@@ -56,7 +56,8 @@
 {
     if (upstream.warmupsLeft > 0)
         return 1;
-    return std::min(upstream.declared.slots, upstream.declared.connections);
+    const std::size_t slots = std::min(upstream.declared.slots, upstream.declared.connections);
+    return std::min(slots, upstream.shedLimit.value_or(slots));
 }
 
 std::size_t slotsTaken(const UpstreamState& upstream)
@@ -102,7 +103,7 @@
 {
     const std::map<std::string, CallerQueue>::const_iterator found = lane.callers.find(caller);
     const std::size_t own = found == lane.callers.end() ? 0 : found->second.works.size();
-    const std::size_t others = lane.order.size() - (own > 0 ? 1 : 0);
+    const std::size_t others = lane.turns.size() - (own > 0 ? 1 : 0);
     return std::min(lane.size, own + (own + 1) * others);
 }
 
@@ -131,6 +132,18 @@
     return wait + std::max(upstream.pausedUntil - now, Utils::Duration(0));
 }
 
+Utils::Duration admissionBound(const DispatchState& state, const UpstreamState& upstream, std::size_t rank,
+    const Requests::Work& work, Utils::Instant now)
+{
+    const Utils::Duration half = (work.deadline - now) / 2;
+    const Utils::Duration target = state.ranks[rank].target;
+    const bool isOverloaded = now < upstream.lanes[rank].overloadedUntil;
+    if (!isOverloaded || target.count() == 0)
+        return half;
+    const Utils::Duration least = minBoundServices * expectedService(upstream, rank, now);
+    return std::min(half, std::max(target / 2, least));
+}
+
 Utils::Duration comeBack(const DispatchState& state, UpstreamState& upstream, std::size_t rank,
     Requests::WorkId work, Utils::Instant now)
 {
@@ -140,6 +153,7 @@
     const Utils::Instant backlogEnd = now + expectedWait(state, upstream, rank, lane.size, now);
     const Utils::Instant latest = now + state.options.caps.maxRetryAfter;
     lane.nextReturn = std::min(std::max(lane.nextReturn + step, backlogEnd), latest);
+    lane.overloadedUntil = now + overloadTargets * state.ranks[rank].target;
     return spread(std::max(lane.nextReturn - now, minRetryAfter), work);
 }
 
