--- a/scripts/check-lint.sh
+++ b/scripts/check-lint.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Runs clang-tidy over the compile database. A file whose preprocessed text, rules and verdict are known from an earlier
-# clean run is passed over; the record is kept in the build folder.
+# Runs clang-tidy over the compile database. A file that was found clean before, with the same project headers and rules,
+# is passed over; the record is kept in the user's cache folder, so that all work trees share it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cache=build/lint-clean
+export cache=${LINT_CACHE:-${XDG_CACHE_HOME:-$HOME/.cache}/crocusferry/lint}
 mkdir -p "$cache"
 export rules
 rules=$(sha256sum .clang-tidy | cut -d' ' -f1)
@@ -11,16 +11,16 @@
 lint_one() {
     local file=$1 key
     key=$(python3 scripts/lintkey.py "$file" "$rules")
-    [ -e "build/lint-clean/$key" ] && return 0
-    if clang-tidy -p build --quiet "$file" >"build/lint-clean/$key.out" 2>/dev/null; then
-        rm -f "build/lint-clean/$key.out"
-        : >"build/lint-clean/$key"
+    [ -e "$cache/$key" ] && return 0
+    if clang-tidy -p build --quiet "$file" >"$cache/$key.out" 2>/dev/null; then
+        rm -f "$cache/$key.out"
+        : >"$cache/$key"
     else
-        cat "build/lint-clean/$key.out"
-        rm -f "build/lint-clean/$key.out"
+        cat "$cache/$key.out"
+        rm -f "$cache/$key.out"
         echo "lint: $file failed"
         return 1
     fi
 }
 export -f lint_one
-git ls-files -co --exclude-standard -- '*.cpp' | grep -v '_generated' | xargs -r -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'
+git ls-files -co --exclude-standard -- '*.cpp' | grep -v '_generated' | xargs -r -P "${LINT_JOBS:-$((($(nproc) + 1) / 2))}" -I{} bash -c 'lint_one {}'
