--- a/scripts/check-lint.sh
+++ b/scripts/check-lint.sh
@@ -9,16 +9,13 @@
 rules=$(sha256sum .clang-tidy | cut -d' ' -f1)
 
 lint_one() {
-    local file=$1 key
+    local file=$1 key out
     key=$(python3 scripts/lintkey.py "$file" "$rules")
     [ -e "$cache/$key" ] && return 0
-    if clang-tidy -p build --quiet "$file" >"$cache/$key.out" 2>/dev/null; then
-        rm -f "$cache/$key.out"
+    if out=$(clang-tidy -p build --quiet "$file" 2>/dev/null); then
         : >"$cache/$key"
     else
-        cat "$cache/$key.out"
-        rm -f "$cache/$key.out"
-        echo "lint: $file failed"
+        printf '%s\nlint: %s failed\n' "$out" "$file"
         return 1
     fi
 }
