--- a/src/libs/gateway/callerrelay.cpp
+++ b/src/libs/gateway/callerrelay.cpp
@@ -298,7 +298,7 @@
 } // namespace Internal
 
 boost::asio::awaitable<bool> relayRequest(
-    NetworkState& state, CallerConnection& caller, CallerRequest request)
+    NetworkState& state, CallerConnection& caller, const CallerRequest& request)
 {
     const Utils::Instant arrived = Utils::monotonicNow();
     Internal::Relay relay { state, caller, request, arrived, arrived + request.timeout, 0, 0, 0,
--- a/src/libs/gateway/callers.cpp
+++ b/src/libs/gateway/callers.cpp
@@ -3,6 +3,7 @@
 #include <gateway/callerrelay.h>
 #include <gateway/callerwriter.h>
 #include <gateway/gatewayconstants.h>
+#include <gateway/requestfault.h>
 #include <gateway/requesthead.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -89,31 +90,31 @@
     co_return false;
 }
 
-asio::awaitable<bool> serveWhole(
-    NetworkState& state, CallerConnection& caller, RequestParser& parser, CallerRequest request)
-{
-    if (!co_await readBody(caller, parser))
-        co_return co_await refuse(state, caller, Requests::Reason::BadRequest);
-    request.body = std::move(parser.get().body());
-    caller.stream.expires_never();
-    co_return co_await relayRequest(state, caller, std::move(request));
-}
-
 asio::awaitable<bool> serveChecked(
-    NetworkState& state, CallerConnection& caller, RequestParser& parser, CallerRequest request)
+    NetworkState& state, CallerConnection& caller, RequestParser& parser, CallerRequest& request)
 {
     const Declarations::Service& service = state.routing->configuration->services.at(request.service);
     parser.body_limit(service.maxRequestBytes);
     if (parser.content_length() && *parser.content_length() > service.maxRequestBytes)
         co_return co_await refuse(state, caller, Requests::Reason::BodyTooLarge);
-    if (!co_await readBody(caller, parser))
-        co_return co_await refuse(state, caller, Requests::Reason::BadRequest);
-    request.body = std::move(parser.get().body());
+    const std::uint64_t reserved
+        = parser.content_length().value_or(parser.chunked() ? service.maxRequestBytes : 0);
+    if (state.bodyBytes + reserved > state.settings.maxBodyBytes)
+        co_return co_await refuse(state, caller, Requests::Reason::EntryOverloaded);
+    state.bodyBytes += reserved;
     ++state.requestsInHand;
-    caller.stream.expires_never();
-    const bool usable = co_await relayRequest(state, caller, std::move(request));
+    bool usable = false;
+    if (co_await readBody(caller, parser)) {
+        request.body = std::move(parser.get().body());
+        caller.stream.expires_never();
+        usable = co_await relayRequest(state, caller, request);
+    } else {
+        co_await refuse(state, caller, Requests::Reason::BadRequest);
+    }
     --state.requestsInHand;
-    co_return usable&& caller.keepAlive;
+    state.bodyBytes -= reserved;
+    usable = usable && caller.keepAlive;
+    co_return usable;
 }
 
 /// Serves one request; false when the connection is to be closed.
@@ -139,7 +140,7 @@
         []() { return CallerRequest(); });
     if (fault != Requests::Reason::None)
         co_return co_await refuse(state, caller, fault);
-    co_return co_await serveChecked(state, caller, parser, std::move(request));
+    co_return co_await serveChecked(state, caller, parser, request);
 }
 
 asio::awaitable<void> serveCaller(NetworkState& state, asio::ip::tcp::socket socket)
--- a/src/libs/gateway/holdercalls.cpp
+++ b/src/libs/gateway/holdercalls.cpp
@@ -97,6 +97,18 @@
     co_return answer;
 }
 
+/// Tells the dispatch duty that an upstream has restarted.
+void reportCold(ControlState& state, const Utils::UpstreamId& id)
+{
+    for (const std::pair<const Utils::PoolId, Declarations::UpstreamPool>& pool :
+        state.configuration->pools) {
+        if (!pool.second.upstreams.contains(id))
+            continue;
+        if (!state.outputs.toDispatch(UpstreamReported { pool.first, id, Dispatch::UpstreamCondition::Cold }))
+            state.metrics.counters.add(Counter::RingFull);
+    }
+}
+
 void noteHealth(
     ControlState& state, const Utils::UpstreamId& id, const std::optional<Ownership::HolderAnswer>& answer)
 {
