Read the log's end with one loop that keeps the last error

clang-tidy's analyzer took the moved boolean result for uninitialised. The stream's name is now checked with the other arguments, so that no error of a read is final before the deadline.

--- a/src/libs/commands/logarguments.cpp
+++ b/src/libs/commands/logarguments.cpp
@@ -15,6 +15,19 @@
 
 constexpr unsigned defaultTimeoutMs = 10'000;
 
+bool isStreamName(const std::string& name, Console& console)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_CHECK(Settings::nameValue("log-stream", name));
+            return true;
+        },
+        [&] {
+            console.error << "--log-stream: \"" << name << "\" is no name\n";
+            return false;
+        });
+}
+
 } // namespace
 
 std::string environmentOr(const std::string& name, const std::string& fallback)
@@ -49,7 +62,7 @@
 std::optional<LogView> openLog(const LogArguments& arguments, Console& console)
 {
     const std::optional<Platform::Endpoint> service = readEndpoint("log", arguments.log.getValue(), console);
-    if (!service.has_value())
+    if (!service.has_value() || !isStreamName(arguments.stream.getValue(), console))
         return std::nullopt;
     return LogView { { *service, arguments.stream.getValue() } };
 }
--- a/src/libs/commands/logview.cpp
+++ b/src/libs/commands/logview.cpp
@@ -72,21 +72,14 @@
 {
     bool isRead = false;
     while (!isRead || isBehind(view)) {
-        leaf::result<bool> moved = leaf::try_handle_some(
-            [&]() -> leaf::result<bool> {
-                BOOST_LEAF_CHECK(readOn(view, Utils::Duration(0)));
-                return true;
-            },
-            [&](const leaf::error_info& info, PlatformError error) -> leaf::result<bool> {
-                if (error == PlatformError::BadEndpoint || Utils::monotonicNow() >= deadline)
-                    return info.error();
-                std::this_thread::sleep_for(retryPause);
-                return false;
-            });
-        if (!moved)
-            return moved.error();
-        isRead = isRead || *moved;
-        if (isBehind(view) && Utils::monotonicNow() >= deadline)
+        leaf::result<LogStep> step = readOn(view, Utils::Duration(0));
+        const bool isLate = Utils::monotonicNow() >= deadline;
+        if (!step && isLate)
+            return step.error();
+        if (!step)
+            std::this_thread::sleep_for(retryPause);
+        isRead = isRead || step.has_value();
+        if (isLate && isBehind(view))
             return leaf::new_error(PlatformError::Timeout);
     }
     return {};
--- a/tests/auto/commands/tst_publishcommand.cpp
+++ b/tests/auto/commands/tst_publishcommand.cpp
@@ -107,6 +107,8 @@
     CHECK_THAT(refused.out, Catch::Contains("key_range_reshaped"));
     CHECK(publish(log, "one", demoFolder()).code == ExitCode::Usage);
     CHECK(run({ "publish", "--base", "0", "--log", "localhost", demoFolder() }).code == ExitCode::Usage);
+    CHECK(run(log.withLog({ "publish", "--base", "0", "--log-stream", "a/b", demoFolder() })).code
+        == ExitCode::Usage);
     CHECK(log.stopAndCount() == 1);
 }
 
