--- a/tests/auto/declarations/tst_keylookup.cpp
+++ b/tests/auto/declarations/tst_keylookup.cpp
@@ -3,6 +3,7 @@
 
 #include <declarations/configurationreader.h>
 #include <declarations/keylookup.h>
+#include <declarations/keyrangeindex.h>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -46,6 +47,9 @@
             = Declarations::findKeyRange(configuration, Utils::ServiceId { row.service }, row.key);
         const std::string found = range ? range->id.value : "";
         CHECK(found == row.range);
+        const KeyRange* indexed = Declarations::findKeyRange(
+            Declarations::indexKeyRanges(configuration), Utils::ServiceId { row.service }, row.key);
+        CHECK((indexed != nullptr) == (range != nullptr));
     }
 }
 
@@ -58,6 +62,10 @@
             configuration.services) {
             const KeyRange* range = Declarations::findKeyRange(configuration, service.first, key);
             RC_ASSERT(range != nullptr);
+            const Declarations::KeyRangeIndex index = Declarations::indexKeyRanges(configuration);
+            const KeyRange* indexed = Declarations::findKeyRange(index, service.first, key);
+            RC_ASSERT(indexed != nullptr);
+            RC_ASSERT(*indexed == *range);
             Configuration rest = configuration;
             rest.keyRanges.erase(range->id);
             RC_ASSERT(Declarations::findKeyRange(rest, service.first, key) == nullptr);
