Prove that one of several racing publications wins

Six racers with one base, with and without lost answers: exactly one is accepted and the others are told of the conflict.

--- a/tests/auto/commands/tst_publishcommand.cpp
+++ b/tests/auto/commands/tst_publishcommand.cpp
@@ -2,7 +2,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
+#include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 using CommandFixture::ChangedSet;
@@ -85,6 +89,38 @@
     CHECK(log.stopAndCount() == 2);
 }
 
+TEST_CASE("of operators that race with one base, exactly one wins", "[publishcommand]")
+{
+    const LogFaults faults = GENERATE(LogFaults {}, fault(&LogFaults::loseAnswerNext, 3));
+    LogFixture log(faults);
+    constexpr std::size_t racers = 6;
+    std::vector<std::unique_ptr<ChangedSet>> sets;
+    for (std::size_t i = 0; i < racers; i += 1) {
+        const std::string target = "\"target_ms\": 5" + std::to_string(i) + ",";
+        sets.push_back(std::make_unique<ChangedSet>(
+            "racer" + std::to_string(i), "ranks.json", "\"target_ms\": 50,", target));
+    }
+    std::array<ExitCode, racers> codes {};
+    std::vector<std::thread> threads;
+    threads.reserve(racers);
+    for (std::size_t i = 0; i < racers; i += 1)
+        threads.emplace_back([&, i] { codes[i] = publish(log, "0", sets[i]->folder.string()).code; });
+    for (std::thread& thread : threads)
+        thread.join();
+    CHECK(std::count(codes.begin(), codes.end(), ExitCode::Ok) == 1);
+    CHECK(std::count(codes.begin(), codes.end(), ExitCode::Conflict) == racers - 1);
+}
+
+TEST_CASE("a log that has lost its start is not published to", "[publishcommand]")
+{
+    LogFixture log;
+    log.service.streams["crocusferry"].end = 10;
+    const RunResult result = publish(log, "latest", demoFolder());
+    CHECK(result.code == ExitCode::LogUnreachable);
+    CHECK_THAT(result.error, Catch::Contains("needs_checkpoint"));
+    CHECK(log.stopAndCount() == 0);
+}
+
 TEST_CASE("publishing what is in force adds nothing", "[publishcommand]")
 {
     LogFixture log;
