--- a/src/libs/commands/vmstanding.h
+++ b/src/libs/commands/vmstanding.h
@@ -12,7 +12,7 @@
 /// One pool that a VM has a part in.
 struct PoolDuty {
     Utils::PoolId pool;
-    /// Dispatcher or successor, as the VM names it.
+    /// What it does for the pool, in the words of its status: "granting", "standby".
     std::string role;
     std::uint64_t servedShards = 0;
     std::uint64_t shards = 0;
--- a/src/libs/declarations/internal/parsepools.cpp
+++ b/src/libs/declarations/internal/parsepools.cpp
@@ -61,6 +61,26 @@
     pool.upstreams[upstream.id] = std::move(upstream);
 }
 
+void parseUpstreams(FieldReader& reader, const boost::json::array& list, UpstreamPool& pool, Origins& origins)
+{
+    const std::string place = pointerTo(reader.origin.place, "upstreams");
+    std::size_t index = 0;
+    for (const boost::json::value& entry : list) {
+        const Origin origin { reader.origin.file, pointerTo(place, std::to_string(index)), true };
+        index += 1;
+        if (!entry.is_object()) {
+            reader.faults.push_back({ FaultCode::WrongType, origin.file, origin.place, reader.ref.kind,
+                reader.ref.name, "must be an object" });
+            continue;
+        }
+        FieldReader inner { entry.get_object(), reader.ref, origin, reader.faults };
+        parseUpstream(inner, pool, origins);
+    }
+    // An upstream that could not be read may be the one that the pool needs.
+    if (pool.upstreams.size() != list.size())
+        reader.origin.sound = false;
+}
+
 } // namespace
 
 void parseUpstreamPool(FieldReader& reader, Configuration& configuration, Origins& origins)
@@ -69,28 +89,10 @@
     pool.id.value = reader.ref.name;
     readReference(reader, "region", pool.region);
     const boost::json::value* list = requireField(reader, "upstreams");
+    if (list && list->is_array())
+        parseUpstreams(reader, list->get_array(), pool, origins);
     if (list && !list->is_array())
         reportUnreadable(reader, FaultCode::WrongType, "upstreams", "must be a list");
-    if (list && list->is_array()) {
-        const std::string place = pointerTo(reader.origin.place, "upstreams");
-        std::size_t index = 0;
-        for (const boost::json::value& entry : list->get_array()) {
-            const std::string step = std::to_string(index);
-            index += 1;
-            if (!entry.is_object()) {
-                reader.origin.sound = false;
-                reader.faults.push_back({ FaultCode::WrongType, reader.origin.file, pointerTo(place, step),
-                    reader.ref.kind, reader.ref.name, "must be an object" });
-                continue;
-            }
-            FieldReader inner { entry.get_object(), reader.ref,
-                { reader.origin.file, pointerTo(place, step), true }, reader.faults };
-            parseUpstream(inner, pool, origins);
-        }
-        // An upstream that could not be read may be the one that the pool needs.
-        if (pool.upstreams.size() != list->get_array().size())
-            reader.origin.sound = false;
-    }
     configuration.pools[pool.id] = std::move(pool);
 }
 
--- a/tests/auto/commands/tst_statuscommand.cpp
+++ b/tests/auto/commands/tst_statuscommand.cpp
@@ -31,7 +31,7 @@
 {
     return "{\"name\":\"vm-a\",\"applied\":1,\"configuration_offset\":" + configurationOffset
         + R"(,"log_status":"following","leaving":false,
-        "duties":{"stock-west":{"role":"dispatcher","token":3,"epoch":1,"served":7,"shards":8}}})";
+        "duties":{"stock-west":{"role":"granting","token":3,"epoch":1,"served":7,"shards":8}}})";
 }
 
 /// What the VM answers, whether there is a second one, and what status ends with.
@@ -50,7 +50,7 @@
     const StatusRow rows[] = {
         { "current", statusText("1"), false, ExitCode::Ok,
             "vm-a (west-1, live): current, configuration at offset 1, log read to 1 (0 behind), following\n"
-            "  pool stock-west: dispatcher, serves 7 of 8 shards\n" },
+            "  pool stock-west: granting, serves 7 of 8 shards\n" },
         { "lagging", statusText("0"), false, ExitCode::Lagging,
             "vm-a (west-1, live): lags, configuration at offset 0" },
         { "no JSON", "{", false, ExitCode::Lagging, "vm-a (west-1, live): no answer: malformed" },
