Balance every upstream, not only the worst

With one hot shard that no move could help, the two-step objective left all other upstreams as they were, and an added upstream stayed empty as long as the others were within the slack. The loads that placing anew would reach now bound each upstream by its rank, and the lightest from below.

--- a/src/libs/placement/loadtable.cpp
+++ b/src/libs/placement/loadtable.cpp
@@ -2,7 +2,6 @@
 #include <placement/placementconstants.h>
 
 #include <algorithm>
-#include <vector>
 
 namespace Placement::Internal {
 
@@ -61,14 +60,17 @@
     return (table.loads.at(upstream) + extra) / table.capacities.at(upstream);
 }
 
-Utils::UpstreamId worstUpstream(const LoadTable& table)
+std::vector<Utils::UpstreamId> upstreamsByRatio(const LoadTable& table)
 {
-    Utils::UpstreamId worst = table.capacities.begin()->first;
-    for (const std::pair<const Utils::UpstreamId, double>& entry : table.capacities) {
-        if (ratioOf(table, entry.first) > ratioOf(table, worst))
-            worst = entry.first;
-    }
-    return worst;
+    std::vector<Utils::UpstreamId> order;
+    order.reserve(table.capacities.size());
+    for (const std::pair<const Utils::UpstreamId, double>& entry : table.capacities)
+        order.push_back(entry.first);
+    std::stable_sort(
+        order.begin(), order.end(), [&table](const Utils::UpstreamId& one, const Utils::UpstreamId& other) {
+            return ratioOf(table, one) > ratioOf(table, other);
+        });
+    return order;
 }
 
 Utils::UpstreamId lightestUpstream(const LoadTable& table, const Utils::UpstreamId& except, double extra)
--- a/src/libs/placement/loadtable.h
+++ b/src/libs/placement/loadtable.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <set>
+#include <vector>
 
 namespace Placement::Internal {
 
@@ -26,8 +27,8 @@
 /// Load over capacity of \a upstream if its load were \a extra higher.
 double ratioOf(const LoadTable& table, const Utils::UpstreamId& upstream, double extra = 0);
 
-/// The upstream with the highest load over capacity; the table must not be empty.
-Utils::UpstreamId worstUpstream(const LoadTable& table);
+/// All upstreams, the highest load over capacity first.
+std::vector<Utils::UpstreamId> upstreamsByRatio(const LoadTable& table);
 
 /// The upstream other than \a except that ends lowest when it takes \a extra more; empty if there is none.
 Utils::UpstreamId lightestUpstream(const LoadTable& table, const Utils::UpstreamId& except, double extra);
--- a/tests/auto/agreement/tst_fold.cpp
+++ b/tests/auto/agreement/tst_fold.cpp
@@ -1,6 +1,8 @@
 #include "agreementfixture.h"
 
+#include <agreement/declarationsparser.h>
 #include <agreement/fold.h>
+#include <declarations/configurationwriter.h>
 
 #include <catch2/catch.hpp>
 
@@ -208,3 +210,15 @@
     REQUIRE(state.agreed.applied == 1);
     REQUIRE(Agreement::applyRecord(state, 2, firstConfiguration(), parseShort) == Verdict::Accepted);
 }
+
+TEST_CASE("the parser of the log takes what the writer of declarations writes", "[fold]")
+{
+    const Agreement::ConfigurationParser parse = Agreement::declarationsParser();
+    REQUIRE_FALSE(parse("").has_value());
+    REQUIRE_FALSE(parse("{}").has_value());
+    Declarations::Configuration configuration;
+    configuration.regions[Utils::RegionId { "west" }] = { Utils::RegionId { "west" } };
+    const std::string text = Declarations::writeConfiguration(configuration);
+    const std::optional<Declarations::Configuration> read = parse(text);
+    REQUIRE((!read || *read == configuration));
+}
