--- a/src/libs/agreement/fold.cpp
+++ b/src/libs/agreement/fold.cpp
@@ -64,6 +64,24 @@
         assignment.shards };
 }
 
+/// Whether all that \a former allowed, \a later allows to the same starts; its token apart.
+bool isCoveredBy(const FormerAssignment& former, const FormerAssignment& later)
+{
+    FormerAssignment sameToken = former;
+    sameToken.token = later.token;
+    return sameToken == later;
+}
+
+/// The formers of an assignment that replaces \a present, each kind of them once.
+std::vector<FormerAssignment> formersAfter(const PoolAssignment& present)
+{
+    const FormerAssignment latest = formerOf(present);
+    std::vector<FormerAssignment> formers = present.formers;
+    std::erase_if(formers, [&latest](const FormerAssignment& former) { return isCoveredBy(former, latest); });
+    formers.push_back(latest);
+    return formers;
+}
+
 Verdict judge(LogState& state, Utils::Offset offset, const AssignmentRecord& record,
     const ConfigurationParser& /*parseConfiguration*/)
 {
@@ -78,10 +96,8 @@
     if (!assignmentIsValid(state, record))
         return Verdict::InvalidAssignment;
     std::vector<FormerAssignment> formers;
-    if (isAssigned) {
-        formers = present->second.formers;
-        formers.push_back(formerOf(present->second));
-    }
+    if (isAssigned)
+        formers = formersAfter(present->second);
     if (formers.size() > maxFormers)
         return Verdict::TooManyFormers;
     state.agreed.assignments[record.pool] = { record.pool, offset, record.dispatcher, record.successor,
--- a/src/libs/agreement/follow.cpp
+++ b/src/libs/agreement/follow.cpp
@@ -53,6 +53,13 @@
     }
 }
 
+/// Keeps track of the oldest record that a starting VM needs.
+void noteNeeded(LogReader& reader, const LogRecord& record)
+{
+    if (record.offset == 1 || record.offset == reader.state.agreed.checkpoint)
+        reader.oldestNeededMs = record.timeMs;
+}
+
 } // namespace Internal
 
 void noteFirst(LogReader& reader, Utils::Offset first)
@@ -74,9 +81,10 @@
         return judged;
     for (const LogRecord& record : records) {
         const Verdict verdict = applyText(reader.state, record.offset, record.data, parseConfiguration);
-        judged.push_back({ record.offset, verdict });
         if (verdict == Verdict::Gap)
             break;
+        Internal::noteNeeded(reader, record);
+        judged.push_back({ record.offset, verdict });
     }
     reader.next = reader.state.agreed.applied + 1;
     return judged;
--- a/src/libs/agreement/follow.h
+++ b/src/libs/agreement/follow.h
@@ -14,7 +14,8 @@
 void noteFirst(LogReader& reader, Utils::Offset first);
 
 /// Folds one answer of the log, \a first being the oldest offset that the log keeps. Gives a verdict for each
-/// record judged. Records may overlap with earlier ones and may come again; those have no effect.
+/// record judged, up to the first gap. Records may overlap with earlier ones and may come again; those have
+/// no effect.
 std::vector<JudgedRecord> foldRecords(LogReader& reader, Utils::Offset first,
     const std::vector<LogRecord>& records, const ConfigurationParser& parseConfiguration);
 
--- a/tests/auto/agreement/tst_fold.cpp
+++ b/tests/auto/agreement/tst_fold.cpp
@@ -1,7 +1,11 @@
 #include "agreementfixture.h"
 
+#include "../declarations/baseset.h"
+
+#include <agreement/agreementconstants.h>
 #include <agreement/declarationsparser.h>
 #include <agreement/fold.h>
+#include <declarations/configurationreader.h>
 #include <declarations/configurationwriter.h>
 
 #include <catch2/catch.hpp>
@@ -11,6 +15,7 @@
 namespace {
 
 using namespace AgreementFixture;
+using Agreement::LogState;
 using Agreement::RecordVariant;
 using Agreement::Verdict;
 
@@ -174,6 +179,29 @@
     REQUIRE(present.formers.empty());
 }
 
+TEST_CASE("unsettled formers are bounded, and equal ones are kept once", "[fold]")
+{
+    LogState state;
+    REQUIRE(Agreement::applyRecord(state, 1, firstConfiguration(), parseShort) == Verdict::Accepted);
+    const auto propose = [&state](std::size_t dispatcher) {
+        const Utils::Offset offset = state.agreed.applied + 1;
+        const std::map<Utils::PoolId, Agreement::PoolAssignment>& assignments = state.agreed.assignments;
+        const Utils::Offset token = assignments.empty() ? 0 : assignments.begin()->second.token;
+        const std::string vm = "vm-" + std::to_string(dispatcher);
+        return Agreement::applyRecord(
+            state, offset, assignment(vmHeader("x", offset), "p", token, vm), parseShort);
+    };
+    for (std::size_t round = 0; round < 200; ++round)
+        REQUIRE(propose(round % 2) == Verdict::Accepted);
+    const Agreement::PoolAssignment& present = state.agreed.assignments.at(Utils::PoolId { "p" });
+    REQUIRE(present.formers.size() == 2);
+    REQUIRE(present.formers[1].token + 1 == present.token);
+    for (std::size_t round = 2; round < 1 + Agreement::maxFormers; ++round)
+        REQUIRE(propose(round) == Verdict::Accepted);
+    REQUIRE(present.formers.size() == Agreement::maxFormers);
+    REQUIRE(propose(1000) == Verdict::TooManyFormers);
+}
+
 TEST_CASE("a dropped pool keeps its assignment until it is closed and settled", "[fold]")
 {
     Agreement::LogState state;
@@ -216,9 +244,7 @@
     const Agreement::ConfigurationParser parse = Agreement::declarationsParser();
     REQUIRE_FALSE(parse("").has_value());
     REQUIRE_FALSE(parse("{}").has_value());
-    Declarations::Configuration configuration;
-    configuration.regions[Utils::RegionId { "west" }] = { Utils::RegionId { "west" } };
-    const std::string text = Declarations::writeConfiguration(configuration);
-    const std::optional<Declarations::Configuration> read = parse(text);
-    REQUIRE((!read || *read == configuration));
+    const Declarations::ReadResult base = Declarations::readConfiguration(DeclarationsTest::baseSet());
+    REQUIRE(base.configuration.has_value());
+    REQUIRE(parse(Declarations::writeConfiguration(*base.configuration)) == base.configuration);
 }
--- a/tests/auto/agreement/tst_follow.cpp
+++ b/tests/auto/agreement/tst_follow.cpp
@@ -26,7 +26,8 @@
 
 void append(std::vector<LogRecord>& log, const RecordVariant& record)
 {
-    log.push_back({ log.size() + 1, 0, Agreement::encodeRecord(record) });
+    const std::int64_t timeMs = static_cast<std::int64_t>(log.size()) + 1;
+    log.push_back({ log.size() + 1, timeMs, Agreement::encodeRecord(record) });
 }
 
 std::vector<LogRecord> from(const std::vector<LogRecord>& log, Utils::Offset first)
@@ -82,6 +83,7 @@
         Agreement::foldRecords(reader, row.first, from(log, next), parseShort);
     }
     REQUIRE(reader.status == row.status);
+    REQUIRE(reader.oldestNeededMs == (row.status == ReaderStatus::Following ? 5 : 0));
     if (row.status == ReaderStatus::Following)
         REQUIRE(reader.state == foldAll(log));
     else
