--- a/src/libs/placement/choosedispatchers.cpp
+++ b/src/libs/placement/choosedispatchers.cpp
@@ -35,7 +35,7 @@
 /// VMs of the pool's region, or all when it has none.
 Candidates dispatcherCandidates(const DispatchInput& input, const Utils::RegionId& region)
 {
-    const Candidates local = candidatesWhere(
+    Candidates local = candidatesWhere(
         input, [&region](const VmCandidate& candidate) { return candidate.region == region; });
     if (!local.empty())
         return local;
@@ -46,12 +46,12 @@
 Candidates successorCandidates(
     const DispatchInput& input, const Utils::RegionId& region, const VmCandidate& dispatcher)
 {
-    const Candidates inRegion = candidatesWhere(input, [&](const VmCandidate& candidate) {
+    Candidates inRegion = candidatesWhere(input, [&](const VmCandidate& candidate) {
         return candidate.region == region && candidate.zone != dispatcher.zone;
     });
     if (!inRegion.empty())
         return inRegion;
-    const Candidates elsewhere = candidatesWhere(
+    Candidates elsewhere = candidatesWhere(
         input, [&](const VmCandidate& candidate) { return candidate.zone != dispatcher.zone; });
     if (!elsewhere.empty())
         return elsewhere;
@@ -110,6 +110,19 @@
     return true;
 }
 
+/// Keeps the dispatcher of \a present, or else has its successor take the place; \a kept is who it is.
+bool keepEither(Duties& duties, const DispatchInput& input, const DispatchPair& present,
+    const Candidates& candidates, std::size_t bound, Agreement::VmStart& kept)
+{
+    for (const Agreement::VmStart& start : { present.dispatcher, present.successor }) {
+        if (!tryKeep(duties, input, start, candidates, bound))
+            continue;
+        kept = start;
+        return true;
+    }
+    return false;
+}
+
 void chooseDispatcherOfEach(
     std::map<Utils::PoolId, DispatchPair>& pairs, Duties& duties, const DispatchInput& input)
 {
@@ -118,13 +131,9 @@
         const Candidates candidates = dispatcherCandidates(input, entry.second);
         const std::size_t bound = dutyBound(poolsOfRegion(input, entry.second), candidates.size());
         const std::map<Utils::PoolId, DispatchPair>::const_iterator present = input.present.find(entry.first);
-        if (present == input.present.end())
-            open.push_back(entry.first);
-        else if (tryKeep(duties, input, present->second.dispatcher, candidates, bound))
-            pairs[entry.first].dispatcher = present->second.dispatcher;
-        else if (tryKeep(duties, input, present->second.successor, candidates, bound))
-            pairs[entry.first].dispatcher = present->second.successor;
-        else
+        const bool isKept = present != input.present.end()
+            && keepEither(duties, input, present->second, candidates, bound, pairs[entry.first].dispatcher);
+        if (!isKept)
             open.push_back(entry.first);
     }
     for (const Utils::PoolId& pool : open) {
--- a/src/libs/platform/logclient.cpp
+++ b/src/libs/platform/logclient.cpp
@@ -18,6 +18,8 @@
 
 namespace json = boost::json;
 
+constexpr std::uint64_t maxTimeMs = std::numeric_limits<std::int64_t>::max();
+
 bool isStreamName(const std::string& name)
 {
     if (name.empty() || name.size() > maxNameBytes)
@@ -48,22 +50,20 @@
     return kept;
 }
 
-leaf::result<Agreement::LogRecord> recordFrom(const json::value& value)
+leaf::result<void> readRecord(Agreement::LogRecord& record, const json::value& value)
 {
     const json::object* const object = value.if_object();
     if (!object)
         return leaf::new_error(PlatformError::Malformed);
-    Agreement::LogRecord record;
     BOOST_LEAF_ASSIGN(record.offset, numberIn(*object, "offset"));
     BOOST_LEAF_ASSIGN(const std::uint64_t time, numberIn(*object, "time_ms"));
     const json::value* const data = object->if_contains("data");
     const json::string* const text = data ? data->if_string() : nullptr;
-    if (!text || text->size() > maxRecordBytes
-        || time > std::uint64_t(std::numeric_limits<std::int64_t>::max()))
+    if (!text || text->size() > maxRecordBytes || time > maxTimeMs)
         return leaf::new_error(PlatformError::Malformed);
     record.timeMs = static_cast<std::int64_t>(time);
     record.data.assign(text->data(), text->size());
-    return record;
+    return {};
 }
 
 leaf::result<ReadAnswer> readAnswerFrom(const HttpAnswer& answer, Utils::Offset from, std::size_t limit)
@@ -76,10 +76,11 @@
         return leaf::new_error(PlatformError::Malformed);
     read.records.reserve(records->size());
     for (const json::value& value : *records) {
-        BOOST_LEAF_ASSIGN(Agreement::LogRecord record, recordFrom(value));
-        if (record.offset != from + read.records.size() || record.offset >= read.kept.end)
+        const Utils::Offset expected = from + read.records.size();
+        Agreement::LogRecord& record = read.records.emplace_back();
+        BOOST_LEAF_CHECK(readRecord(record, value));
+        if (record.offset != expected || record.offset >= read.kept.end)
             return leaf::new_error(PlatformError::Malformed);
-        read.records.push_back(std::move(record));
     }
     return read;
 }
