--- a/src/libs/dispatch/callerqueue.h
+++ b/src/libs/dispatch/callerqueue.h
@@ -7,11 +7,13 @@
 
 namespace Dispatch {
 
-/// What one caller has queued in a lane.
+/// What one caller has queued and running in a lane.
 struct CallerQueue {
     std::deque<Requests::WorkId> works;
-    /// The caller's virtual time: service time it was charged, on the lane's scale.
-    Utils::Duration used {};
+    /// Its works of this lane that run.
+    unsigned running = 0;
+    /// Service time that it had beyond its turns; it passes turns until that is paid off.
+    Utils::Duration debt {};
 };
 
 } // namespace Dispatch
--- a/src/libs/dispatch/capacity.cpp
+++ b/src/libs/dispatch/capacity.cpp
@@ -56,7 +56,8 @@
 {
     if (upstream.warmupsLeft > 0)
         return 1;
-    return std::min(upstream.declared.slots, upstream.declared.connections);
+    const std::size_t slots = std::min(upstream.declared.slots, upstream.declared.connections);
+    return std::min(slots, upstream.shedLimit.value_or(slots));
 }
 
 std::size_t slotsTaken(const UpstreamState& upstream)
@@ -101,9 +102,8 @@
 std::size_t aheadOf(const Lane& lane, const std::string& caller)
 {
     const std::map<std::string, CallerQueue>::const_iterator found = lane.callers.find(caller);
-    const bool known = found != lane.callers.end();
-    const std::size_t own = known ? found->second.works.size() : 0;
-    const std::size_t others = lane.callers.size() - (known ? 1 : 0);
+    const std::size_t own = found == lane.callers.end() ? 0 : found->second.works.size();
+    const std::size_t others = lane.turns.size() - (own > 0 ? 1 : 0);
     return std::min(lane.size, own + (own + 1) * others);
 }
 
@@ -111,7 +111,8 @@
     std::size_t ahead, Utils::Instant now)
 {
     const double slots = slotsOf(upstream);
-    Utils::Duration queued = ahead * expectedService(upstream, rank, now);
+    const Utils::Duration own = ahead * expectedService(upstream, rank, now);
+    Utils::Duration urgent {};
     Utils::Duration running {};
     for (std::size_t other = 0; other < upstream.lanes.size(); ++other) {
         const Lane& lane = upstream.lanes[other];
@@ -119,15 +120,32 @@
             continue;
         const Utils::Duration service = expectedService(upstream, other, now);
         if (other < rank)
-            queued += lane.size * service;
+            urgent += lane.size * service;
         running += lane.running * service;
     }
-    Utils::Duration wait = scaled(queued, 1 / (slots * capacityShare(state, upstream, rank)));
+    Utils::Duration wait = scaled(own + urgent, 1 / (slots * capacityShare(state, upstream, rank)));
+    const double floorShare = state.ranks[rank].floorShare;
+    if (floorShare > 0)
+        wait = std::min(wait, scaled(own, 1 / (slots * floorShare)));
     if (slotsTaken(upstream) >= slotLimit(upstream))
         wait += scaled(running, 1 / (2 * slots));
     return wait + std::max(upstream.pausedUntil - now, Utils::Duration(0));
 }
 
+Utils::Duration admissionBound(const DispatchState& state, const UpstreamState& upstream, std::size_t rank,
+    const Requests::Work& work, Utils::Instant now)
+{
+    const Utils::Duration calm = (work.deadline - now) / admissionDivisor;
+    const Utils::Duration target = state.ranks[rank].target;
+    const bool isOverloaded = now < upstream.lanes[rank].overloadedUntil;
+    if (!isOverloaded || target.count() == 0)
+        return calm;
+    const Utils::Duration service = expectedService(upstream, rank, now);
+    const double rate = slotsOf(upstream) * capacityShare(state, upstream, rank);
+    const Utils::Duration least = service + scaled(service, minQueuedTurns / rate);
+    return std::min(calm, std::max(scaled(target, overloadTargetShare), least));
+}
+
 Utils::Duration comeBack(const DispatchState& state, UpstreamState& upstream, std::size_t rank,
     Requests::WorkId work, Utils::Instant now)
 {
@@ -137,6 +155,7 @@
     const Utils::Instant backlogEnd = now + expectedWait(state, upstream, rank, lane.size, now);
     const Utils::Instant latest = now + state.options.caps.maxRetryAfter;
     lane.nextReturn = std::min(std::max(lane.nextReturn + step, backlogEnd), latest);
+    lane.overloadedUntil = now + overloadTargets * state.ranks[rank].target;
     return spread(std::max(lane.nextReturn - now, minRetryAfter), work);
 }
 
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -25,7 +25,7 @@
         return;
     ShardPlace& place = state.shards[shard];
     place.unownedSince = now;
-    place.rememberedSince = now;
+    place.rememberedSince = state.rememberedSince.value_or(now);
 }
 
 /// Queues a work that was not refused, and starts what can be started.
@@ -41,6 +41,7 @@
     if (upstream == nullptr)
         return;
     Internal::schedule(state, *upstream, now, actions);
+    Internal::giveUpDue(state, now, actions);
     const std::unordered_map<WorkId, WorkEntry>::const_iterator waiting = state.works.find(work.id);
     if (waiting != state.works.end())
         Internal::evictExcess(state, waiting->second, now, actions);
--- a/src/libs/dispatch/lanes.cpp
+++ b/src/libs/dispatch/lanes.cpp
@@ -7,53 +7,61 @@
 
 namespace {
 
-CallerQueue& queueOf(Lane& lane, const std::string& caller)
-{
-    const std::map<std::string, CallerQueue>::iterator found = lane.callers.find(caller);
-    if (found != lane.callers.end())
-        return found->second;
-    CallerQueue& queue = lane.callers[caller];
-    queue.used = lane.virtualTime;
-    lane.order.emplace(queue.used, caller);
-    return queue;
-}
+/// Most turns that a caller passes in a row.
+constexpr int maxPassedTurns = 2;
 
-void dropIfEmpty(Lane& lane, const std::string& caller)
+void dropIfIdle(Lane& lane, const std::string& caller)
 {
     const std::map<std::string, CallerQueue>::iterator found = lane.callers.find(caller);
-    if (!found->second.works.empty())
-        return;
-    lane.order.erase({ found->second.used, caller });
-    lane.callers.erase(found);
+    if (found->second.works.empty() && found->second.running == 0)
+        lane.callers.erase(found);
 }
 
 } // namespace
 
 void pushBack(Lane& lane, const std::string& caller, Requests::WorkId work)
 {
-    queueOf(lane, caller).works.push_back(work);
+    CallerQueue& queue = lane.callers[caller];
+    if (queue.works.empty())
+        lane.turns.push_back(caller);
+    queue.works.push_back(work);
     ++lane.size;
 }
 
 void pushFront(Lane& lane, const std::string& caller, Requests::WorkId work)
 {
-    queueOf(lane, caller).works.push_front(work);
+    CallerQueue& queue = lane.callers[caller];
+    if (!queue.works.empty())
+        lane.turns.erase(std::find(lane.turns.begin(), lane.turns.end(), caller));
+    lane.turns.push_front(caller);
+    queue.works.push_front(work);
     ++lane.size;
 }
 
-Requests::WorkId nextOf(const Lane& lane)
+Requests::WorkId nextOf(Lane& lane, Utils::Duration quantum)
 {
-    return lane.callers.at(lane.order.begin()->second).works.front();
+    for (;;) {
+        const std::string caller = lane.turns.front();
+        CallerQueue& queue = lane.callers.at(caller);
+        queue.debt = std::min(queue.debt, maxPassedTurns * quantum);
+        if (queue.debt < quantum)
+            return queue.works.front();
+        queue.debt -= quantum;
+        lane.turns.pop_front();
+        lane.turns.push_back(caller);
+    }
 }
 
-void popNext(Lane& lane, Utils::Duration charge)
+void popNext(Lane& lane)
 {
-    const std::string caller = lane.order.begin()->second;
-    lane.virtualTime = std::max(lane.virtualTime, lane.order.begin()->first);
-    lane.callers.at(caller).works.pop_front();
+    const std::string caller = lane.turns.front();
+    CallerQueue& queue = lane.callers.at(caller);
+    queue.works.pop_front();
+    ++queue.running;
     --lane.size;
-    chargeCaller(lane, caller, charge);
-    dropIfEmpty(lane, caller);
+    lane.turns.pop_front();
+    if (!queue.works.empty())
+        lane.turns.push_back(caller);
 }
 
 void eraseFrom(Lane& lane, const std::string& caller, Requests::WorkId work)
@@ -61,17 +69,19 @@
     std::deque<Requests::WorkId>& works = lane.callers.at(caller).works;
     works.erase(std::find(works.begin(), works.end(), work));
     --lane.size;
-    dropIfEmpty(lane, caller);
+    if (works.empty())
+        lane.turns.erase(std::find(lane.turns.begin(), lane.turns.end(), caller));
+    dropIfIdle(lane, caller);
 }
 
-void chargeCaller(Lane& lane, const std::string& caller, Utils::Duration charge)
+void settleCaller(Lane& lane, const std::string& caller, Utils::Duration excess)
 {
     const std::map<std::string, CallerQueue>::iterator found = lane.callers.find(caller);
-    if (found == lane.callers.end())
+    if (found == lane.callers.end() || found->second.running == 0)
         return;
-    lane.order.erase({ found->second.used, caller });
-    found->second.used += charge;
-    lane.order.emplace(found->second.used, caller);
+    --found->second.running;
+    found->second.debt = std::max(found->second.debt + excess, Utils::Duration(0));
+    dropIfIdle(lane, caller);
 }
 
 const std::string& longestCaller(const Lane& lane)
--- a/src/libs/dispatch/queueing.cpp
+++ b/src/libs/dispatch/queueing.cpp
@@ -24,13 +24,13 @@
     state.giveUps.emplace(at, entry.work.id);
 }
 
-/// How long a work may wait for what is not there: at most half of its time, so that its caller can come
+/// How long a work may wait for what is not there: at most a part of its time, so that its caller can come
 /// back.
 Utils::Instant waitEnd(
     const DispatchState& state, const WorkEntry& entry, Utils::Instant since, Utils::Instant now)
 {
-    const Utils::Instant half = now + (entry.work.deadline - now) / 2;
-    return std::min(since + state.options.caps.ownerWait, half);
+    const Utils::Instant part = now + (entry.work.deadline - now) / giveUpDivisor;
+    return std::min(since + state.options.caps.ownerWait, part);
 }
 
 Reason unusableReason(const UpstreamState& upstream)
@@ -39,16 +39,36 @@
                                                                 : Reason::UpstreamDraining;
 }
 
+/// When the upstream ceased to be usable.
+Utils::Instant unusableSince(const DispatchState& state, const UpstreamState& upstream)
+{
+    const bool leaves = upstream.condition == UpstreamCondition::Leaving;
+    return upstream.conditionSince + (leaves ? state.options.caps.leavingGrace : Utils::Duration(0));
+}
+
 void setQueuedGiveUp(
     DispatchState& state, const UpstreamState& upstream, WorkEntry& entry, Utils::Instant now)
 {
     if (!isUsable(state, upstream, now)) {
-        const Utils::Instant end = waitEnd(state, entry, upstream.conditionSince, now);
+        const Utils::Instant end = waitEnd(state, entry, unusableSince(state, upstream), now);
         setGiveUp(state, entry, end, unusableReason(upstream));
         return;
     }
-    const Utils::Duration service = expectedService(upstream, entry.rank, now);
-    setGiveUp(state, entry, entry.work.deadline - service, Reason::DeadlinePassed);
+    const Utils::Instant part = now + (entry.work.deadline - now) / giveUpDivisor;
+    const Utils::Instant latest = entry.work.deadline - expectedService(upstream, entry.rank, now);
+    setGiveUp(state, entry, std::min(part, latest), Reason::DeadlinePassed);
+}
+
+/// Works that wait for an unusable upstream already keep their time.
+void renewGiveUps(
+    DispatchState& state, const UpstreamState& upstream, const CallerQueue& queue, Utils::Instant now)
+{
+    const bool usable = isUsable(state, upstream, now);
+    for (const WorkId id : queue.works) {
+        WorkEntry& entry = state.works.at(id);
+        if (usable || entry.giveUpReason != unusableReason(upstream))
+            setQueuedGiveUp(state, upstream, entry, now);
+    }
 }
 
 void waitForOwner(DispatchState& state, WorkEntry& entry, Utils::Instant now, std::vector<Action>& actions)
@@ -119,10 +139,8 @@
 void setGiveUps(DispatchState& state, UpstreamState& upstream, Utils::Instant now)
 {
     for (const Lane& lane : upstream.lanes) {
-        for (const std::pair<const std::string, CallerQueue>& caller : lane.callers) {
-            for (const WorkId id : caller.second.works)
-                setQueuedGiveUp(state, upstream, state.works.at(id), now);
-        }
+        for (const std::pair<const std::string, CallerQueue>& caller : lane.callers)
+            renewGiveUps(state, upstream, caller.second, now);
     }
 }
 
