Serve the stand-ins by callbacks

Sessions and waiting requests now live in maps by number. A background server runs a context that outlives the stand-in's state, so timers never outlive their context; the tests that use one pass it in, their checks unchanged.

--- a/src/tools/measureagreement/main.cpp
+++ b/src/tools/measureagreement/main.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <chrono>
 #include <iostream>
+#include <optional>
 #include <string>
 
 namespace {
@@ -123,7 +124,7 @@
 
 boost::json::object measure(const LogSize& size)
 {
-    const Declarations::Configuration configuration = makeConfiguration(size);
+    const std::optional<Declarations::Configuration> configuration = makeConfiguration(size);
     const Measured measured = measureFold(size, [&configuration](std::string_view) { return configuration; });
     const Clock::time_point start = Clock::now();
     const std::string checkpoint
--- a/tests/auto/commands/commandfixture.cpp
+++ b/tests/auto/commands/commandfixture.cpp
@@ -47,7 +47,7 @@
 LogFixture::LogFixture(const StandInLog::LogFaults& faults)
 {
     this->service.faults = faults;
-    this->server.emplace(StandInLog::handlerOf(this->service));
+    this->server.emplace(this->context, StandInLog::handlerOf(this->service));
 }
 
 std::vector<std::string> LogFixture::withLog(std::vector<std::string> arguments) const
--- a/tests/auto/commands/commandfixture.h
+++ b/tests/auto/commands/commandfixture.h
@@ -44,7 +44,8 @@
     /// Records in the stream, once the server has stopped.
     std::size_t stopAndCount();
 
-    StandInLog::LogService service;
+    boost::asio::io_context context { 1 };
+    StandInLog::LogService service { context };
     std::optional<StandInSupport::BackgroundServer> server;
 };
 
--- a/tests/auto/commands/tst_statuscommand.cpp
+++ b/tests/auto/commands/tst_statuscommand.cpp
@@ -63,12 +63,14 @@
         INFO(row.name);
         const LogFixture log;
         REQUIRE(run(log.withLog({ "publish", "--base", "0", demoFolder() })).code == ExitCode::Ok);
-        StandInVmList::VmListService list;
+        boost::asio::io_context context { 1 };
+        StandInVmList::VmListService list(context);
         REQUIRE(StandInVmList::loadEntries(list, listText(row.second)));
-        const StandInSupport::BackgroundServer vms(StandInVmList::handlerOf(list));
-        const StandInSupport::BackgroundServer admin(
-            [&row](StandInSupport::HttpRequest) -> boost::asio::awaitable<StandInSupport::HttpReply> {
-                co_return StandInSupport::HttpReply { 200, row.answer };
+        const StandInSupport::BackgroundServer vms(context, StandInVmList::handlerOf(list));
+        boost::asio::io_context adminContext { 1 };
+        const StandInSupport::BackgroundServer admin(adminContext,
+            [&row](const StandInSupport::HttpRequest&, const StandInSupport::ReplyFunction& reply) {
+                reply({ 200, row.answer });
             });
         const RunResult result = run(log.withLog({ "status", "--vms",
             "127.0.0.1:" + std::to_string(vms.port()), "--admin-port", std::to_string(admin.port()) }));
@@ -85,9 +87,10 @@
     const LogFixture log(faults);
     CHECK(run(log.withLog({ "status" })).code == ExitCode::Usage);
     CHECK(run(log.withLog({ "status", "--vms", "127.0.0.1:1" })).code == ExitCode::NotFound);
-    StandInVmList::VmListService list;
+    boost::asio::io_context context { 1 };
+    StandInVmList::VmListService list(context);
     REQUIRE(StandInVmList::loadEntries(list, listText(false)));
-    const StandInSupport::BackgroundServer vms(StandInVmList::handlerOf(list));
+    const StandInSupport::BackgroundServer vms(context, StandInVmList::handlerOf(list));
     const RunResult result = run(log.withLog(
         { "status", "--json", "--admin-port", "1", "--vms", "127.0.0.1:" + std::to_string(vms.port()) }));
     CHECK(result.code == ExitCode::LogUnreachable);
--- a/tests/auto/platform/tst_logclient.cpp
+++ b/tests/auto/platform/tst_logclient.cpp
@@ -21,7 +21,7 @@
         for (const char* const text : { "one", "two", "three" })
             StandInLog::addRecord(this->service.streams["crocus"], text, recentMs());
         this->service.faults = faults;
-        this->server.emplace(StandInLog::handlerOf(this->service));
+        this->server.emplace(this->context, StandInLog::handlerOf(this->service));
         this->endpoint = { { "127.0.0.1", this->server->port() }, "crocus" };
     }
 
@@ -39,7 +39,8 @@
         return this->service.streams["crocus"].records.size();
     }
 
-    StandInLog::LogService service;
+    boost::asio::io_context context { 1 };
+    StandInLog::LogService service { context };
     std::optional<StandInSupport::BackgroundServer> server;
     Platform::LogEndpoint endpoint;
 };
@@ -186,9 +187,10 @@
         R"({"first":2,"end":3,"records":[]})");
     const unsigned status = GENERATE(200U, 410U);
     INFO(status << " " << body);
+    boost::asio::io_context context { 1 };
     StandInSupport::BackgroundServer server(
-        [&](StandInSupport::HttpRequest) -> boost::asio::awaitable<StandInSupport::HttpReply> {
-            co_return StandInSupport::HttpReply { status, body };
+        context, [&](const StandInSupport::HttpRequest&, const StandInSupport::ReplyFunction& reply) {
+            reply({ status, body });
         });
     const Platform::LogEndpoint endpoint { { "127.0.0.1", server.port() }, "crocus" };
     const std::string outcome = outcomeOf([&] { return Platform::readRecords(endpoint, 1, 10, 0ms, 2s); });
--- a/tests/auto/platform/tst_vmlistclient.cpp
+++ b/tests/auto/platform/tst_vmlistclient.cpp
@@ -26,9 +26,10 @@
 
 TEST_CASE("the list is read whole", "[vmlistclient]")
 {
-    StandInVmList::VmListService service;
+    boost::asio::io_context context { 1 };
+    StandInVmList::VmListService service(context);
     REQUIRE(StandInVmList::loadEntries(service, listText));
-    StandInSupport::BackgroundServer server(StandInVmList::handlerOf(service));
+    StandInSupport::BackgroundServer server(context, StandInVmList::handlerOf(service));
     const boost::leaf::result<std::vector<Platform::VmEntry>> vms
         = Platform::listVms({ "127.0.0.1", server.port() }, 2s);
     REQUIRE(vms.has_value());
@@ -56,9 +57,10 @@
         { "over-long", &Faults::overlongNext, 1, "answer_too_large" },
     }));
     INFO(row.name);
-    StandInVmList::VmListService service;
+    boost::asio::io_context context { 1 };
+    StandInVmList::VmListService service(context);
     service.faults.*row.fault = row.value;
-    StandInSupport::BackgroundServer server(StandInVmList::handlerOf(service));
+    StandInSupport::BackgroundServer server(context, StandInVmList::handlerOf(service));
     REQUIRE(outcomeOf([&] {
         return Platform::listVms({ "127.0.0.1", server.port() }, 300ms);
     }) == row.outcome);
@@ -72,9 +74,10 @@
         replaced(listText, "8081", "65536"), replaced(listText, "8081", "\"8081\""),
         replaced(listText, "\"live\"", "\"dead\""), R"({"vms":[1]})", R"({"vms":{}})", "[]", "");
     INFO(text);
+    boost::asio::io_context context { 1 };
     StandInSupport::BackgroundServer server(
-        [&](StandInSupport::HttpRequest) -> boost::asio::awaitable<StandInSupport::HttpReply> {
-            co_return StandInSupport::HttpReply { 200, text };
+        context, [&](const StandInSupport::HttpRequest&, const StandInSupport::ReplyFunction& reply) {
+            reply({ 200, text });
         });
     REQUIRE(outcomeOf([&] { return Platform::listVms({ "127.0.0.1", server.port() }, 2s); }) == "malformed");
 }
--- a/tests/standins/log/logservice.cpp
+++ b/tests/standins/log/logservice.cpp
@@ -1,8 +1,5 @@
 #include <standins/log/logservice.h>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -47,10 +44,13 @@
     return path.substr(head.size(), path.size() - head.size() - tail.size());
 }
 
-void wakeWaiting(LogService& service)
+/// Ends the waits that \a stream has records for now.
+void wakeWaiting(LogService& service, const std::string& stream)
 {
-    for (const std::pair<const std::uint64_t, asio::steady_timer*>& entry : service.waiting)
-        entry.second->cancel();
+    for (std::pair<const std::uint64_t, WaitingRequest>& entry : service.waiting) {
+        if (entry.second.endsWithRecord && entry.second.stream == stream)
+            entry.second.timer.cancel();
+    }
 }
 
 HttpReply append(LogService& service, const std::string& name, const HttpRequest& request)
@@ -60,7 +60,7 @@
     if (StandInSupport::takeOne(service.faults.loseRequestNext))
         return { 0, "", true };
     const std::uint64_t offset = addRecord(service.streams[name], request.body, nowMs());
-    wakeWaiting(service);
+    wakeWaiting(service, name);
     HttpReply reply { 200, json::serialize(json::object { { "offset", offset } }) };
     reply.drop = StandInSupport::takeOne(service.faults.loseAnswerNext);
     return reply;
@@ -102,29 +102,6 @@
     return { 200, json::serialize(object) };
 }
 
-asio::awaitable<void> pause(std::chrono::milliseconds length)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, length);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
-/// Waits until there is something to read or the request's wait is over.
-asio::awaitable<void> waitForRecords(LogService& service, const std::string& name, const HttpRequest& request)
-{
-    using Clock = std::chrono::steady_clock;
-    const std::uint64_t from = numberIn(request, "from", 1);
-    const Clock::time_point until = Clock::now() + std::chrono::milliseconds(numberIn(request, "wait_ms", 0));
-    const std::uint64_t number = ++service.lastWaiting;
-    asio::steady_timer timer(co_await asio::this_coro::executor);
-    service.waiting[number] = &timer;
-    while (Clock::now() < until && from >= visibleEnd(service, service.streams[name])) {
-        timer.expires_at(until);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
-    service.waiting.erase(number);
-}
-
 /// Spoils an answer as the faults say.
 HttpReply spoil(LogFaults& faults, HttpReply reply)
 {
@@ -137,19 +114,65 @@
     return reply;
 }
 
-asio::awaitable<HttpReply> serveStream(LogService& service, std::string name, HttpRequest request)
+HttpReply answerNow(LogService& service, const std::string& stream, const HttpRequest& request)
 {
-    if (service.faults.slowMs > 0)
-        co_await pause(std::chrono::milliseconds(service.faults.slowMs));
     if (service.faults.outage != 0)
-        co_return HttpReply { 503, "{}" };
+        return { 503, "{}" };
     if (request.method == "POST")
-        co_return spoil(service.faults, append(service, name, request));
-    co_await waitForRecords(service, name, request);
-    if (service.faults.outage != 0)
-        co_return HttpReply { 503, "{}" };
-    expireRecords(service.streams[name], service.options, nowMs());
-    co_return spoil(service.faults, read(service, name, request));
+        return spoil(service.faults, append(service, stream, request));
+    expireRecords(service.streams[stream], service.options, nowMs());
+    return spoil(service.faults, read(service, stream, request));
+}
+
+/// How long a read waits for a record before it is answered.
+std::chrono::milliseconds waitOf(LogService& service, const std::string& stream, const HttpRequest& request)
+{
+    const bool hasRecords = numberIn(request, "from", 1) < visibleEnd(service, service.streams[stream]);
+    if (request.method == "POST" || hasRecords || service.faults.outage != 0)
+        return std::chrono::milliseconds(0);
+    return std::chrono::milliseconds(numberIn(request, "wait_ms", 0));
+}
+
+/// Calls \a next with the request once \a wait is over or, if it may end so, a record has come.
+void waitThen(LogService& service, WaitingRequest waiting, std::chrono::milliseconds wait,
+    void (*next)(LogService&, WaitingRequest))
+{
+    const std::uint64_t number = ++service.lastWaiting;
+    WaitingRequest& kept = service.waiting.emplace(number, std::move(waiting)).first->second;
+    kept.timer.expires_after(wait);
+    kept.timer.async_wait([&service, number, next](const boost::system::error_code&) {
+        WaitingRequest due = std::move(service.waiting.at(number));
+        service.waiting.erase(number);
+        next(service, std::move(due));
+    });
+}
+
+void answer(LogService& service, WaitingRequest due)
+{
+    due.reply(answerNow(service, due.stream, due.request));
+}
+
+void answerWithRecords(LogService& service, WaitingRequest due)
+{
+    const std::chrono::milliseconds wait = waitOf(service, due.stream, due.request);
+    if (wait.count() == 0) {
+        answer(service, std::move(due));
+        return;
+    }
+    due.endsWithRecord = true;
+    waitThen(service, std::move(due), wait, answer);
+}
+
+void serveStream(
+    LogService& service, const std::string& stream, HttpRequest request, StandInSupport::ReplyFunction reply)
+{
+    WaitingRequest waiting { stream, std::move(request), std::move(reply),
+        asio::steady_timer(service.context), false };
+    if (service.faults.slowMs > 0)
+        waitThen(
+            service, std::move(waiting), std::chrono::milliseconds(service.faults.slowMs), answerWithRecords);
+    else
+        answerWithRecords(service, std::move(waiting));
 }
 
 HttpReply serveFaults(LogService& service, const HttpRequest& request)
@@ -159,21 +182,26 @@
     return { 200, StandInSupport::showFaults(service.faults, logFaultTable) };
 }
 
-asio::awaitable<HttpReply> serve(LogService& service, HttpRequest request)
+void serve(LogService& service, HttpRequest request, StandInSupport::ReplyFunction reply)
 {
-    if (request.path == "/faults")
-        co_return serveFaults(service, request);
+    if (request.path == "/faults") {
+        reply(serveFaults(service, request));
+        return;
+    }
     const std::optional<std::string> stream = streamOf(request.path);
     if (!stream)
-        co_return HttpReply { 404, "{}" };
-    co_return co_await serveStream(service, *stream, std::move(request));
+        reply({ 404, "{}" });
+    else
+        serveStream(service, *stream, std::move(request), std::move(reply));
 }
 
 } // namespace
 
 StandInSupport::HttpHandler handlerOf(LogService& service)
 {
-    return [&service](HttpRequest request) { return serve(service, std::move(request)); };
+    return [&service](HttpRequest request, StandInSupport::ReplyFunction reply) {
+        serve(service, std::move(request), std::move(reply));
+    };
 }
 
 } // namespace StandInLog
--- a/tests/standins/log/logservice.h
+++ b/tests/standins/log/logservice.h
@@ -3,9 +3,10 @@
 #include <standins/log/logfaults.h>
 #include <standins/log/logoptions.h>
 #include <standins/log/logstream.h>
+#include <standins/log/waitingrequest.h>
 #include <standins/support/httphandler.h>
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/io_context.hpp>
 
 #include <cstdint>
 #include <map>
@@ -14,13 +15,19 @@
 /// The stand-in for the platform's log service; see the interface page for its contract.
 namespace StandInLog {
 
-/// The streams and faults of one log service; belongs to its context's thread.
+/// The streams and faults of one log service; belongs to the thread of its context.
 struct LogService {
+    explicit LogService(boost::asio::io_context& ioContext)
+        : context(ioContext)
+    {
+    }
+
+    boost::asio::io_context& context;
     LogOptions options;
     LogFaults faults;
     std::map<std::string, LogStream> streams;
-    /// The timers of the waiting reads, by their number; each read keeps its own, and appends cancel all.
-    std::map<std::uint64_t, boost::asio::steady_timer*> waiting;
+    /// The requests that wait for a record or for the end of a delay.
+    std::map<std::uint64_t, WaitingRequest> waiting;
     std::uint64_t lastWaiting = 0;
 };
 
--- a/tests/standins/log/main.cpp
+++ b/tests/standins/log/main.cpp
@@ -14,10 +14,10 @@
         defaults.retentionCount, "count", line);
     line.parse(argc, argv);
 
-    StandInLog::LogService service;
+    boost::asio::io_context context(1);
+    StandInLog::LogService service(context);
     service.options.retentionMs = retention.getValue();
     service.options.retentionCount = count.getValue();
-    boost::asio::io_context context(1);
     return StandInSupport::serveUntilStopped(
         context, "standinlog", listen.getValue(), StandInLog::handlerOf(service));
 }
--- a/tests/standins/support/backgroundserver.cpp
+++ b/tests/standins/support/backgroundserver.cpp
@@ -4,7 +4,9 @@
 
 namespace StandInSupport {
 
-BackgroundServer::BackgroundServer(HttpHandler handler)
+BackgroundServer::BackgroundServer(boost::asio::io_context& ioContext, HttpHandler handler)
+    : context(ioContext)
+    , server(ioContext)
 {
     if (startServing(this->server, "127.0.0.1:0", std::move(handler)))
         return;
--- a/tests/standins/support/backgroundserver.h
+++ b/tests/standins/support/backgroundserver.h
@@ -10,7 +10,8 @@
 /// A stand-in on a thread of its own, listening on a free loopback port; for tests within one process.
 class BackgroundServer {
 public:
-    explicit BackgroundServer(HttpHandler handler);
+    /// Runs \a ioContext, which outlives it.
+    BackgroundServer(boost::asio::io_context& ioContext, HttpHandler handler);
     BackgroundServer(const BackgroundServer&) = delete;
     BackgroundServer& operator=(const BackgroundServer&) = delete;
     ~BackgroundServer();
@@ -19,8 +20,8 @@
     std::uint16_t port() const;
 
 private:
-    boost::asio::io_context context { 1 };
-    HttpServer server { context };
+    boost::asio::io_context& context;
+    HttpServer server;
     std::uint16_t listeningPort = 0;
     std::thread thread;
 };
--- a/tests/standins/support/httphandler.h
+++ b/tests/standins/support/httphandler.h
@@ -3,13 +3,14 @@
 #include <standins/support/httpreply.h>
 #include <standins/support/httprequest.h>
 
-#include <boost/asio/awaitable.hpp>
-
 #include <functional>
 
 namespace StandInSupport {
 
-/// Answers one request; runs on the server's thread and may wait.
-using HttpHandler = std::function<boost::asio::awaitable<HttpReply>(HttpRequest)>;
+/// Takes the reply to one request, once.
+using ReplyFunction = std::function<void(HttpReply)>;
+
+/// Answers one request, now or later; runs on the server's thread.
+using HttpHandler = std::function<void(HttpRequest, ReplyFunction)>;
 
 } // namespace StandInSupport
--- a/tests/standins/support/httpserver.cpp
+++ b/tests/standins/support/httpserver.cpp
@@ -1,12 +1,6 @@
 #include <standins/support/httpserver.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include <charconv>
@@ -22,7 +16,6 @@
 
 constexpr std::size_t maxRequestBytes = std::size_t(4) << 20;
 
-using Parser = http::request_parser<http::string_body>;
 using Response = http::response<http::string_body>;
 
 std::map<std::string, std::string> queryOf(const std::string& text)
@@ -51,65 +44,76 @@
     return request;
 }
 
-asio::awaitable<void> sendTruncated(beast::tcp_stream& stream, const HttpReply& reply)
+void readRequest(HttpServer& server, std::uint64_t id);
+
+/// Goes on with the next request of a connection, or ends it.
+void finishAnswer(HttpServer& server, std::uint64_t id, bool keepAlive)
 {
-    beast::error_code error;
-    const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(reply.body.size())
-        + "\r\n\r\n" + reply.body.substr(0, reply.body.size() / 2);
-    co_await asio::async_write(stream, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
+    if (keepAlive)
+        readRequest(server, id);
+    else
+        server.sessions.erase(id);
 }
 
-asio::awaitable<bool> sendReply(beast::tcp_stream& stream, const HttpReply& reply, bool keepAlive)
+void sendBroken(HttpServer& server, std::uint64_t id, const HttpReply& reply)
 {
-    beast::error_code error;
-    Response response(static_cast<http::status>(reply.status), 11);
-    response.set(http::field::content_type, "application/json");
-    response.keep_alive(keepAlive);
-    response.body() = reply.body;
-    response.prepare_payload();
-    co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, error));
-    co_return !error && keepAlive;
+    HttpSession& session = server.sessions.at(id);
+    session.broken = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(reply.body.size()) + "\r\n\r\n"
+        + reply.body.substr(0, reply.body.size() / 2);
+    asio::async_write(session.stream, asio::buffer(session.broken),
+        [&server, id](const beast::error_code&, std::size_t) { finishAnswer(server, id, false); });
 }
 
-/// Answers one request; false when the connection ends.
-asio::awaitable<bool> serveOne(HttpServer& server, beast::tcp_stream& stream, beast::flat_buffer& buffer)
+void sendWhole(HttpServer& server, std::uint64_t id, const HttpReply& reply)
+{
+    HttpSession& session = server.sessions.at(id);
+    session.response = Response(static_cast<http::status>(reply.status), 11);
+    session.response.set(http::field::content_type, "application/json");
+    session.response.keep_alive(session.parser->get().keep_alive());
+    session.response.body() = reply.body;
+    session.response.prepare_payload();
+    http::async_write(
+        session.stream, session.response, [&server, id](const beast::error_code& error, std::size_t) {
+            finishAnswer(server, id, !error && server.sessions.at(id).response.keep_alive());
+        });
+}
+
+void sendReply(HttpServer& server, std::uint64_t id, const HttpReply& reply)
 {
-    beast::error_code error;
-    Parser parser;
-    parser.body_limit(maxRequestBytes);
-    co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    if (error)
-        co_return false;
-    const bool keepAlive = parser.get().keep_alive();
-    const HttpReply reply = co_await server.handler(requestFrom(parser.get()));
     if (reply.drop)
-        co_return false;
-    if (reply.truncate) {
-        co_await sendTruncated(stream, reply);
-        co_return false;
-    }
-    co_return co_await sendReply(stream, reply, keepAlive);
+        finishAnswer(server, id, false);
+    else if (reply.truncate)
+        sendBroken(server, id, reply);
+    else
+        sendWhole(server, id, reply);
 }
 
-asio::awaitable<void> serveConnection(HttpServer& server, asio::ip::tcp::socket socket)
+void readRequest(HttpServer& server, std::uint64_t id)
 {
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
-    while (co_await serveOne(server, stream, buffer)) { }
-    beast::error_code ignored;
-    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    HttpSession& session = server.sessions.at(id);
+    session.parser.emplace();
+    session.parser->body_limit(maxRequestBytes);
+    http::async_read(session.stream, session.buffer, *session.parser,
+        [&server, id](const beast::error_code& error, std::size_t) {
+            if (error) {
+                server.sessions.erase(id);
+                return;
+            }
+            server.handler(requestFrom(server.sessions.at(id).parser->get()),
+                [&server, id](const HttpReply& reply) { sendReply(server, id, reply); });
+        });
 }
 
-asio::awaitable<void> acceptConnections(HttpServer& server)
+void acceptNext(HttpServer& server)
 {
-    while (server.acceptor.is_open()) {
-        beast::error_code error;
-        asio::ip::tcp::socket socket
-            = co_await server.acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-        if (!error)
-            asio::co_spawn(
-                server.acceptor.get_executor(), serveConnection(server, std::move(socket)), asio::detached);
-    }
+    server.acceptor.async_accept([&server](const beast::error_code& error, asio::ip::tcp::socket socket) {
+        if (error)
+            return;
+        const std::uint64_t id = ++server.lastSession;
+        server.sessions.emplace(id, std::move(socket));
+        readRequest(server, id);
+        acceptNext(server);
+    });
 }
 
 boost::system::error_code parseEndpoint(const std::string& listen, asio::ip::tcp::endpoint& endpoint)
@@ -145,7 +149,7 @@
     if (error)
         return error;
     server.handler = std::move(handler);
-    asio::co_spawn(server.acceptor.get_executor(), acceptConnections(server), asio::detached);
+    acceptNext(server);
     return error;
 }
 
--- a/tests/standins/support/httpserver.h
+++ b/tests/standins/support/httpserver.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <standins/support/httphandler.h>
+#include <standins/support/httpsession.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/system/error_code.hpp>
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace StandInSupport {
@@ -20,6 +22,8 @@
 
     boost::asio::ip::tcp::acceptor acceptor;
     HttpHandler handler;
+    std::map<std::uint64_t, HttpSession> sessions;
+    std::uint64_t lastSession = 0;
 };
 
 /// Listens on \a listen, "IP:PORT" with port 0 for any, and answers with \a handler until the context stops.
--- a/tests/standins/vmlist/main.cpp
+++ b/tests/standins/vmlist/main.cpp
@@ -16,7 +16,8 @@
     TCLAP::ValueArg<std::uint64_t> lag("", "lag-ms", "time until a change shows", false, 0, "ms", line);
     line.parse(argc, argv);
 
-    StandInVmList::VmListService service;
+    boost::asio::io_context context(1);
+    StandInVmList::VmListService service(context);
     service.faults.lagMs = lag.getValue();
     if (vms.isSet()) {
         std::ifstream file(vms.getValue());
@@ -26,7 +27,6 @@
             return EXIT_FAILURE;
         }
     }
-    boost::asio::io_context context(1);
     return StandInSupport::serveUntilStopped(
         context, "standinvmlist", listen.getValue(), StandInVmList::handlerOf(service));
 }
--- a/tests/standins/vmlist/vmlistservice.cpp
+++ b/tests/standins/vmlist/vmlistservice.cpp
@@ -1,9 +1,5 @@
 #include <standins/vmlist/vmlistservice.h>
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <string_view>
 
 namespace StandInVmList {
@@ -71,22 +67,33 @@
     return { 200, StandInSupport::showFaults(service.faults, vmListFaultTable) };
 }
 
-asio::awaitable<HttpReply> serve(VmListService& service, HttpRequest request)
+HttpReply answerNow(VmListService& service, const HttpRequest& request)
 {
     if (request.path == "/faults")
-        co_return serveFaults(service, request);
+        return serveFaults(service, request);
     if (request.path.starts_with(entryPath) && request.path.size() > entryPath.size())
-        co_return changeEntry(service, request.path.substr(entryPath.size()), request);
+        return changeEntry(service, request.path.substr(entryPath.size()), request);
     if (request.path != "/vms" || request.method != "GET")
-        co_return HttpReply { 404, "{}" };
-    if (service.faults.slowMs > 0) {
-        asio::steady_timer timer(
-            co_await asio::this_coro::executor, std::chrono::milliseconds(service.faults.slowMs));
-        co_await timer.async_wait(asio::use_awaitable);
+        return { 404, "{}" };
+    return service.faults.outage != 0 ? HttpReply { 503, "{}" } : showList(service);
+}
+
+void serve(VmListService& service, const HttpRequest& request, StandInSupport::ReplyFunction reply)
+{
+    if (service.faults.slowMs == 0 || request.path != "/vms") {
+        reply(answerNow(service, request));
+        return;
     }
-    if (service.faults.outage != 0)
-        co_return HttpReply { 503, "{}" };
-    co_return showList(service);
+    const std::uint64_t number = ++service.lastDelay;
+    asio::steady_timer& timer = service.delays.emplace(number, service.context).first->second;
+    timer.expires_after(std::chrono::milliseconds(service.faults.slowMs));
+    timer.async_wait(
+        [&service, number, request, reply = std::move(reply)](const boost::system::error_code& error) {
+            if (error)
+                return;
+            service.delays.erase(number);
+            reply(answerNow(service, request));
+        });
 }
 
 } // namespace
@@ -110,7 +117,9 @@
 
 StandInSupport::HttpHandler handlerOf(VmListService& service)
 {
-    return [&service](HttpRequest request) { return serve(service, std::move(request)); };
+    return [&service](const HttpRequest& request, StandInSupport::ReplyFunction reply) {
+        serve(service, request, std::move(reply));
+    };
 }
 
 } // namespace StandInVmList
