--- a/src/tools/measureagreement/main.cpp
+++ b/src/tools/measureagreement/main.cpp
@@ -81,7 +81,7 @@
     return record;
 }
 
-/// Appends assignments of every pool in turn, each settled.
+/// What a fold came to, and what it cost.
 struct Measured {
     Agreement::LogState state;
     std::size_t assignmentBytes = 0;
@@ -101,6 +101,7 @@
         measured.assignmentBytes = text.size();
 }
 
+/// Folds assignments of every pool in turn, each settled.
 Measured measureFold(const LogSize& size, const Agreement::ConfigurationParser& parse)
 {
     Measured measured;
@@ -124,8 +125,10 @@
 
 boost::json::object measure(const LogSize& size)
 {
-    const std::optional<Declarations::Configuration> configuration = makeConfiguration(size);
-    const Measured measured = measureFold(size, [&configuration](std::string_view) { return configuration; });
+    const Declarations::Configuration configuration = makeConfiguration(size);
+    const Measured measured = measureFold(size, [&configuration](std::string_view) {
+        return std::optional<Declarations::Configuration>(configuration);
+    });
     const Clock::time_point start = Clock::now();
     const std::string checkpoint
         = Agreement::encodeRecord(Agreement::makeCheckpoint(measured.state, { { {}, "west-1-a", 1 }, 1 }));
--- a/tests/standins/support/httpserver.cpp
+++ b/tests/standins/support/httpserver.cpp
@@ -106,7 +106,7 @@
 
 void acceptNext(HttpServer& server)
 {
-    server.acceptor.async_accept([&server](const beast::error_code& error, asio::ip::tcp::socket socket) {
+    server.acceptor.async_accept([&server](const beast::error_code& error, HttpSocket socket) {
         if (error)
             return;
         const std::uint64_t id = ++server.lastSession;
--- a/tests/standins/support/httpserver.h
+++ b/tests/standins/support/httpserver.h
@@ -20,7 +20,7 @@
     {
     }
 
-    boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, boost::asio::io_context::executor_type> acceptor;
     HttpHandler handler;
     std::map<std::uint64_t, HttpSession> sessions;
     std::uint64_t lastSession = 0;
