Let a shard turn back to its owner when the standby is lost

Every settling counts both upstreams of the pair as possible holders, and a granter waits out its own grants either way, so the guard protected nothing. Without it an owner that has come back takes the shard again when the standby is lost during an outage of the log; a test plays that.

--- a/src/libs/ownership/guard.h
+++ b/src/libs/ownership/guard.h
@@ -43,11 +43,9 @@
     WaitInFlight,
     /// Waits are stretched by the largest difference of clock rates.
     StretchByDrift,
-    /// A granter never turns a shard back to its owner.
-    OneWayTurn,
 };
 
-inline constexpr std::array<Utils::EnumName<Guard>, 18> guardNames { {
+inline constexpr std::array<Utils::EnumName<Guard>, 17> guardNames { {
     { Guard::AttestedGrant, "attested_grant" },
     { Guard::ProofFromAsk, "proof_from_ask" },
     { Guard::HolderIsNoAttestor, "holder_is_no_attestor" },
@@ -65,7 +63,6 @@
     { Guard::WaitStoppedGrants, "wait_stopped_grants" },
     { Guard::WaitInFlight, "wait_in_flight" },
     { Guard::StretchByDrift, "stretch_by_drift" },
-    { Guard::OneWayTurn, "one_way_turn" },
 } };
 
 } // namespace Ownership
--- a/src/libs/ownership/turning.cpp
+++ b/src/libs/ownership/turning.cpp
@@ -72,7 +72,7 @@
             continue;
         if (!entry.second.turned)
             turnToStandby(state, pair, entry.first, entry.second, now);
-        else if (waived(state, Guard::OneWayTurn))
+        else
             turnBack(state, pair, entry.first, entry.second, now);
     }
 }
--- a/src/libs/ownership/turning.h
+++ b/src/libs/ownership/turning.h
@@ -5,7 +5,8 @@
 
 namespace Ownership::Internal {
 
-/// Turns shards from their owner to their standby where the owner is lost, or the standby holds them already.
+/// Turns shards from their owner to their standby where the owner is lost, or the standby holds them already,
+/// and back where the standby is lost.
 void turnShards(GranterState& state, Utils::Instant now);
 
 } // namespace Ownership::Internal
--- a/tests/auto/ownership/tst_failover.cpp
+++ b/tests/auto/ownership/tst_failover.cpp
@@ -128,6 +128,17 @@
     }
 }
 
+TEST_CASE("a shard goes back to an owner that has returned when its standby is lost later", "[failover]")
+{
+    const std::vector<Fault> faults { passing(FaultKind::Freeze, "A", milliseconds(1000)),
+        { FaultKind::Lose, "B", milliseconds(4000), {} }, logDown };
+    const OwnershipBench::Result result = play(faults, 3);
+    CHECK(result.servedBy == "A");
+    CHECK(result.moves == 2);
+    CHECK(result.longestMs <= boundMs);
+    CHECK(result.doubleOwners == 0);
+}
+
 TEST_CASE("no pair of faults makes two owners", "[failover]")
 {
     for (const Row& first : singleFaults()) {
