--- a/tests/auto/ownership/tst_granter.cpp
+++ b/tests/auto/ownership/tst_granter.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace {
 
@@ -38,7 +39,7 @@
 std::vector<Action> answerAll(Ownership::GranterState& state, std::vector<Action> actions,
     std::map<Utils::UpstreamId, Ownership::HolderState>& holders, Utils::Instant now)
 {
-    std::vector<Action> all = actions;
+    std::vector<Action> all = std::move(actions);
     for (std::size_t index = 0; index < all.size() && index < 100; ++index) {
         const Action action = all[index];
         std::vector<Action> more;
