--- a/src/libs/dispatch/capacity.cpp
+++ b/src/libs/dispatch/capacity.cpp
@@ -45,6 +45,13 @@
     return std::max({ share, state.ranks[rank].floorShare, minCapacityShare });
 }
 
+Utils::Duration longestComeBack(const DispatchState& state, std::size_t rank)
+{
+    const Utils::Duration longest = state.options.caps.maxRetryAfter;
+    const Utils::Duration limit = state.ranks[rank].defaultTimeout;
+    return limit.count() == 0 ? longest : std::min(longest, maxComeBackLimits * limit);
+}
+
 double slotsOf(const UpstreamState& upstream)
 {
     return static_cast<double>(std::max<std::size_t>(slotLimit(upstream), 1));
@@ -153,8 +160,9 @@
     const double rate = slotsOf(upstream) * capacityShare(state, upstream, rank);
     const Utils::Duration step = scaled(expectedService(upstream, rank, now), 1 / rate);
     const Utils::Instant backlogEnd = now + expectedWait(state, upstream, rank, lane.size, now);
-    const Utils::Instant latest = now + state.options.caps.maxRetryAfter;
-    lane.nextReturn = std::min(std::max(lane.nextReturn + step, backlogEnd), latest);
+    const Utils::Instant promised = now < lane.overloadedUntil ? lane.nextReturn + step : now;
+    const Utils::Instant latest = now + longestComeBack(state, rank);
+    lane.nextReturn = std::min(std::max(promised, backlogEnd), latest);
     lane.overloadedUntil = now + overloadTargets * state.ranks[rank].target;
     return spread(std::max(lane.nextReturn - now, minRetryAfter), work);
 }
--- a/src/libs/dispatch/dispatchconstants.h
+++ b/src/libs/dispatch/dispatchconstants.h
@@ -38,6 +38,12 @@
 inline constexpr double overloadTargetShare = 0.4;
 /// An overloaded rank lets in this many works to wait, however slow they are served.
 inline constexpr double minQueuedTurns = 3;
+/// Longest time for which an upstream's free slots wait for a work that has to run alone.
+inline constexpr Utils::Duration isolationWait = std::chrono::milliseconds(100);
+/// Time after such a wait was in vain in which there is no other.
+inline constexpr Utils::Duration isolationBar = std::chrono::seconds(1);
+/// A refused caller is told to come back within this many of its rank's default time limits.
+inline constexpr int maxComeBackLimits = 10;
 /// Shortest time that a caller is told to stay away.
 inline constexpr Utils::Duration minRetryAfter = std::chrono::milliseconds(10);
 /// Smallest share of the slots that a rank is believed to get.
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -59,6 +59,8 @@
         wakeUp = std::min(wakeUp, upstream.pausedUntil);
     for (const std::pair<const WorkId, Utils::Instant>& slot : upstream.abandoned)
         wakeUp = std::min(wakeUp, slot.second);
+    if (upstream.isolationSince.has_value())
+        wakeUp = std::min(wakeUp, *upstream.isolationSince + isolationWait);
     const Utils::Instant graceEnd = upstream.conditionSince + state.options.caps.leavingGrace;
     if (upstream.condition == UpstreamCondition::Leaving && graceEnd > state.now)
         wakeUp = std::min(wakeUp, graceEnd);
--- a/src/libs/dispatch/scheduling.cpp
+++ b/src/libs/dispatch/scheduling.cpp
@@ -1,8 +1,10 @@
 #include <dispatch/scheduling.h>
 
 #include <dispatch/capacity.h>
+#include <dispatch/dispatchconstants.h>
 #include <dispatch/lanes.h>
 #include <dispatch/poison.h>
+#include <dispatch/queueing.h>
 #include <dispatch/servicetimes.h>
 #include <requests/retry.h>
 
@@ -79,6 +81,35 @@
         [now](const std::pair<const WorkId, Utils::Instant>& slot) { return slot.second <= now; });
 }
 
+/// Answers a work that can't be run alone soon enough.
+void refuseIsolation(DispatchState& state, UpstreamState& upstream, WorkEntry& entry, Utils::Instant now,
+    std::vector<Action>& actions)
+{
+    const WorkId id = entry.work.id;
+    const Utils::Duration retryAfter = spread(upstream.isolationBarredUntil - now, id);
+    upstream.isolationSince.reset();
+    dequeue(state, entry);
+    answerNotRun(state, id, Requests::Reason::PoisonHeld, retryAfter, actions);
+}
+
+/// Whether the upstream's free slots wait for the works that run, so that \a entry can run alone. The wait is
+/// bounded; a work that it didn't help is answered.
+bool waitsToIsolate(DispatchState& state, UpstreamState& upstream, WorkEntry& entry, Utils::Instant now,
+    std::vector<Action>& actions)
+{
+    if (now < upstream.isolationBarredUntil) {
+        refuseIsolation(state, upstream, entry, now, actions);
+        return false;
+    }
+    if (!upstream.isolationSince.has_value())
+        upstream.isolationSince = now;
+    if (now < *upstream.isolationSince + isolationWait)
+        return true;
+    upstream.isolationBarredUntil = now + isolationBar;
+    refuseIsolation(state, upstream, entry, now, actions);
+    return false;
+}
+
 } // namespace
 
 void schedule(DispatchState& state, UpstreamState& upstream, Utils::Instant now, std::vector<Action>& actions)
@@ -89,11 +120,15 @@
         const std::optional<std::size_t> rank = pickRank(state, upstream);
         if (!rank.has_value())
             return;
-        WorkEntry& entry
-            = state.works.at(nextOf(upstream.lanes[*rank], expectedService(upstream, *rank, now)));
+        const Utils::Duration quantum = expectedService(upstream, *rank, now);
+        WorkEntry& entry = state.works.at(nextOf(upstream.lanes[*rank], quantum));
         const bool suspect = isSuspect(state.poison, entry.work, now);
-        if (suspect && slotsTaken(upstream) > 0)
-            return;
+        if (suspect && slotsTaken(upstream) > 0) {
+            if (waitsToIsolate(state, upstream, entry, now, actions))
+                return;
+            continue;
+        }
+        upstream.isolationSince.reset();
         upstream.isolating = suspect;
         start(state, upstream, entry, now, actions);
     }
--- a/src/libs/dispatch/upstreamstate.h
+++ b/src/libs/dispatch/upstreamstate.h
@@ -37,6 +37,10 @@
     Utils::Instant completedAt {};
     /// Whether the running work must stay alone.
     bool isolating = false;
+    /// Since when nothing is started because the next work has to run alone.
+    std::optional<Utils::Instant> isolationSince;
+    /// Until when no work is waited for that has to run alone.
+    Utils::Instant isolationBarredUntil {};
     /// By rank index.
     std::vector<Lane> lanes;
     std::set<Requests::WorkId> running;
--- a/src/tools/measureservice/perentry.cpp
+++ b/src/tools/measureservice/perentry.cpp
@@ -11,7 +11,7 @@
 Requests::Work takeFirst(std::map<unsigned, std::deque<Requests::Work>>& queues)
 {
     const std::map<unsigned, std::deque<Requests::Work>>::iterator first = queues.begin();
-    const Requests::Work work = first->second.front();
+    Requests::Work work = first->second.front();
     first->second.pop_front();
     if (first->second.empty())
         queues.erase(first);
--- a/tests/auto/dispatch/fixture.h
+++ b/tests/auto/dispatch/fixture.h
@@ -27,6 +27,7 @@
     rank.order = order;
     rank.floorShare = floorShare;
     rank.retryBudgetPercent = 20;
+    rank.target = 50ms;
     return rank;
 }
 
--- a/tests/auto/dispatch/tst_dispatcher.cpp
+++ b/tests/auto/dispatch/tst_dispatcher.cpp
@@ -215,6 +215,7 @@
 {
     DispatchOptions small = options();
     small.caps.queuedPerRank = 10;
+    small.ranks.at(urgent).target = 0ms;
     DispatchState state = pool(small);
     for (std::uint64_t id = 1; id <= 40; ++id)
         submit(state, work(id), start);
@@ -254,3 +255,21 @@
     CHECK(completions == 16);
     CHECK(running.size() == 2);
 }
+
+TEST_CASE("Callers are not told to stay away longer than ten of their time limits", "[dispatcher]")
+{
+    DispatchOptions limited = options();
+    limited.ranks.at(urgent).defaultTimeout = 100ms;
+    DispatchState state = pool(limited);
+    Utils::Duration longest {};
+    for (std::uint64_t id = 1; id <= 2000; ++id) {
+        Requests::Work flood = work(id);
+        flood.deadline = start + 100ms;
+        longest = std::max(longest, retryAfterOf(submit(state, flood, start), id));
+    }
+    CHECK(longest >= 900ms);
+    CHECK(longest <= 1250ms);
+    Requests::Work later = work(2001);
+    later.deadline = start + 330ms;
+    CHECK(retryAfterOf(submit(state, later, start + 300ms), 2001) <= 100ms);
+}
--- a/tests/auto/dispatch/tst_poison.cpp
+++ b/tests/auto/dispatch/tst_poison.cpp
@@ -107,3 +107,21 @@
         CHECK(state.poison.records.size() == state.poison.expiries.size());
     }
 }
+
+TEST_CASE("A suspect that can't run alone soon is answered, and holds nobody up again at once", "[poison]")
+{
+    DispatchState state = pool();
+    submit(state, poisonous(1, start), start);
+    finished(state, { 1 }, failed(WorkResultKind::Crashed), start + 1ms);
+    submit(state, work(2, bulk), start + 1ms);
+    submit(state, poisonous(3, start), start + 1ms);
+    submit(state, work(4), start + 2ms);
+    const Utils::Instant due = nextTick(state);
+    CHECK(due == start + 101ms);
+    const std::vector<Action> actions = tick(state, due);
+    CHECK(answerOf(actions, 3) == Reason::PoisonHeld);
+    CHECK(retryAfterOf(actions, 3) >= 1s);
+    CHECK(startedBy(actions) == std::vector<std::uint64_t> { 4 });
+    finished(state, { 4 }, done(), due + 1ms);
+    CHECK(answerOf(submit(state, poisonous(5, due), due + 2ms), 5) == Reason::PoisonHeld);
+}
