--- a/src/tools/measureservice/main.cpp
+++ b/src/tools/measureservice/main.cpp
@@ -1,3 +1,4 @@
+#include "decisioncost.h"
 #include "pool.h"
 #include "simulation.h"
 
@@ -71,13 +72,28 @@
     }
 }
 
+void printCost()
+{
+    constexpr std::uint64_t works = 100'000;
+    const DecisionCost cost = measureDecisions(works);
+    const boost::json::object line { { "measure", "dispatch_decisions" }, { "works", works },
+        { "ns_per_work", cost.nanosecondsPerWork }, { "bytes_per_remembered", cost.bytesPerRemembered },
+        { "bytes_per_queued", cost.bytesPerQueued } };
+    std::cout << boost::json::serialize(line) << '\n';
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     TCLAP::CmdLine line("Measures service by rank in virtual time, next to two baselines.");
     TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "Seed of the run.", false, 1, "number", line);
+    TCLAP::SwitchArg cost("c", "cost", "Measure what decisions cost on this machine instead.", line);
     line.parse(argc, argv);
+    if (cost.getValue()) {
+        printCost();
+        return EXIT_SUCCESS;
+    }
     for (const Utils::EnumName<Routing>& routing : routingNames) {
         ServiceReport unflooded;
         for (const Scenario& scenario : scenarios()) {
