--- a/src/tools/measureservice/fakeupstream.h
+++ b/src/tools/measureservice/fakeupstream.h
@@ -24,6 +24,8 @@
     /// Running works, with the time at which each began.
     std::map<Requests::WorkId, std::pair<UpstreamWork, Utils::Instant>> running;
     std::deque<UpstreamWork> queue;
+    /// Works completed since its start.
+    unsigned completed = 0;
 };
 
 } // namespace Measure
--- a/src/tools/measureservice/scenarios.cpp
+++ b/src/tools/measureservice/scenarios.cpp
@@ -33,6 +33,7 @@
         withLoads("flood_most_urgent", flood, 0.2),
         withFault("slow_upstream", UpstreamFault::Slow),
         withFault("shedding_upstream", UpstreamFault::Shedding),
+        withFault("cold_upstream", UpstreamFault::Cold),
     };
 }
 
--- a/src/tools/measureservice/simulation.h
+++ b/src/tools/measureservice/simulation.h
@@ -10,7 +10,7 @@
 /// Callers, entry VMs, a dispatcher and upstreams in virtual time.
 namespace Measure {
 
-/// Normal load, floods from either end of the ranks, a slow and a shedding upstream.
+/// Normal load, floods from either end of the ranks, a slow, a shedding and a cold upstream.
 std::vector<Scenario> scenarios();
 
 /// Runs the scenario; the same seed gives the same report.
--- a/src/tools/measureservice/upstreamfault.h
+++ b/src/tools/measureservice/upstreamfault.h
@@ -9,6 +9,8 @@
     Slow,
     /// It takes one work at a time and refuses the rest.
     Shedding,
+    /// It starts anew, and takes five times as long for its first hundred works.
+    Cold,
 };
 
 } // namespace Measure
