--- a/src/libs/ownership/asking.cpp
+++ b/src/libs/ownership/asking.cpp
@@ -44,8 +44,7 @@
 /// Whether the clock that the holder showed is new enough for a grant not to end before it arrives.
 bool canGrant(const GranterState& state, const UpstreamView& view, Utils::Instant now)
 {
-    return view.fenced
-        && now - view.answeredAt < state.options.lease.lease;
+    return view.fenced && now - view.answeredAt < state.options.lease.lease;
 }
 
 void sendGrant(GranterState& state, const Utils::UpstreamId& upstream, const std::set<Utils::ShardId>& shards,
--- a/tests/explorer/bytes.h
+++ b/tests/explorer/bytes.h
@@ -24,7 +24,7 @@
 using Bytes = std::string;
 
 template <typename Number>
-    requires std::is_arithmetic_v<Number> || std::is_enum_v<Number>
+requires std::is_arithmetic_v<Number> || std::is_enum_v<Number>
 void put(Bytes& out, Number value)
 {
     const std::uint64_t wide = static_cast<std::uint64_t>(value);
@@ -37,15 +37,9 @@
     out += '\0';
 }
 
-inline void put(Bytes& out, Utils::Instant instant)
-{
-    put(out, instant.time_since_epoch().count());
-}
+inline void put(Bytes& out, Utils::Instant instant) { put(out, instant.time_since_epoch().count()); }
 
-inline void put(Bytes& out, Utils::Duration duration)
-{
-    put(out, duration.count());
-}
+inline void put(Bytes& out, Utils::Duration duration) { put(out, duration.count()); }
 
 void put(Bytes& out, const Agreement::VmStart& start);
 void put(Bytes& out, const Agreement::ShardAssignment& pair);
--- a/tests/explorer/canonical.cpp
+++ b/tests/explorer/canonical.cpp
@@ -17,10 +17,7 @@
 /// Ask id of an answer that nobody waits for.
 constexpr std::uint64_t unknownAsk = 999;
 
-void clampPast(Utils::Instant& instant, Utils::Duration keep)
-{
-    instant = std::max(instant, vmNow - keep);
-}
+void clampPast(Utils::Instant& instant, Utils::Duration keep) { instant = std::max(instant, vmNow - keep); }
 
 void clampPast(std::optional<Utils::Instant>& instant, Utils::Duration keep)
 {
@@ -45,7 +42,8 @@
 Waits waitsOf(const Instance& instance)
 {
     const Utils::Duration proof = instance.proofWindow * tickLength;
-    const Utils::Duration reach = (instance.checksGrants ? instance.lease : instance.maxInFlight) * tickLength;
+    const Utils::Duration reach
+        = (instance.checksGrants ? instance.lease : instance.maxInFlight) * tickLength;
     Waits waits;
     waits.lease = instance.lease * tickLength;
     waits.settling = (proof + reach) * (1000 + instance.driftPerMille) / 1000 + tickLength;
@@ -77,8 +75,9 @@
     clampPast(view.stoppedAt, waits.settling);
     clampPast(view.nextStopAt, Utils::Duration(0));
     clampPast(view.nextAttestAt, Utils::Duration(0));
-    std::erase_if(view.grantedUntil,
-        [](const std::pair<const Utils::UpstreamId, Utils::Instant>& entry) { return entry.second <= vmNow; });
+    std::erase_if(view.grantedUntil, [](const std::pair<const Utils::UpstreamId, Utils::Instant>& entry) {
+        return entry.second <= vmNow;
+    });
 }
 
 /// What only a granter uses.
@@ -97,8 +96,9 @@
     clampPast(state.grantingSince, waits.suspicion);
     state.dispatcherHeardAt.reset();
     state.wakeAt = vmNow;
-    std::erase_if(state.grantedUntil,
-        [](const std::pair<const Utils::UpstreamId, Utils::Instant>& entry) { return entry.second <= vmNow; });
+    std::erase_if(state.grantedUntil, [](const std::pair<const Utils::UpstreamId, Utils::Instant>& entry) {
+        return entry.second <= vmNow;
+    });
     if (state.role != Ownership::GranterRole::Granting)
         forgetGranting(state);
     for (std::pair<const Utils::UpstreamId, Ownership::UpstreamView>& entry : state.upstreams)
@@ -165,10 +165,12 @@
         std::vector<Ownership::SentGrant> kept;
         for (std::vector<Ownership::SentGrant>::const_iterator grant = sent.begin(); grant != sent.end();
              ++grant) {
-            const bool covered = std::any_of(grant + 1, sent.cend(), [&grant](const Ownership::SentGrant& later) {
-                return later.shards == grant->shards && later.until >= grant->until;
-            });
-            if (!covered || waiting.contains(grant->sequence) || grant->sequence == entry.second.ackedSequence)
+            const bool covered
+                = std::any_of(grant + 1, sent.cend(), [&grant](const Ownership::SentGrant& later) {
+                      return later.shards == grant->shards && later.until >= grant->until;
+                  });
+            if (!covered || waiting.contains(grant->sequence)
+                || grant->sequence == entry.second.ackedSequence)
                 kept.push_back(*grant);
         }
         sent = kept;
--- a/tests/explorer/message.h
+++ b/tests/explorer/message.h
@@ -20,7 +20,8 @@
     /// Index of the upstream, or of the VM that receives.
     std::size_t other = 0;
     std::uint64_t askId = 0;
-    std::variant<Ownership::GrantRequest, Ownership::FenceRequest, Ownership::HolderAnswer, Ownership::PeerMessage>
+    std::variant<Ownership::GrantRequest, Ownership::FenceRequest, Ownership::HolderAnswer,
+        Ownership::PeerMessage>
         body;
 
     bool operator==(const Message&) const = default;
--- a/tests/explorer/search.cpp
+++ b/tests/explorer/search.cpp
@@ -81,8 +81,8 @@
 }
 
 /// Adds the world if it is new; its index among the states then.
-std::optional<std::uint32_t> enter(Search& search, const World& world, std::uint32_t parent, const Event& event,
-    const std::vector<std::uint8_t>& fates)
+std::optional<std::uint32_t> enter(Search& search, const World& world, std::uint32_t parent,
+    const Event& event, const std::vector<std::uint8_t>& fates)
 {
     if (!search.seen.insert(digestOf(world)).second)
         return std::nullopt;
@@ -120,8 +120,8 @@
 }
 
 /// Runs one tick to its end; true when the search is over.
-bool exploreTick(const Instance& instance, std::size_t maxStates, Search& search, Queues& queues,
-    SearchResult& result)
+bool exploreTick(
+    const Instance& instance, std::size_t maxStates, Search& search, Queues& queues, SearchResult& result)
 {
     while (!queues.current.empty()) {
         const Pending pending = std::move(queues.current.front());
--- a/tests/explorer/steps.cpp
+++ b/tests/explorer/steps.cpp
@@ -171,8 +171,8 @@
 {
     const Utils::Offset token = world.vms[vm]->state.level.token;
     Agreement::PoolAssignment record = *world.log.back();
-    std::erase_if(record.formers,
-        [token](const Agreement::FormerAssignment& former) { return former.token < token; });
+    std::erase_if(
+        record.formers, [token](const Agreement::FormerAssignment& former) { return former.token < token; });
     world.log.push_back(std::make_shared<const Agreement::PoolAssignment>(record));
 }
 
@@ -180,10 +180,10 @@
 {
     const Vm& granter = *world.vms[vm];
     const std::vector<Agreement::FormerAssignment>& formers = world.log.back()->formers;
-    const bool listed = std::any_of(
-        formers.begin(), formers.end(), [&granter](const Agreement::FormerAssignment& former) {
-            return former.token < granter.state.level.token;
-        });
+    const bool listed
+        = std::any_of(formers.begin(), formers.end(), [&granter](const Agreement::FormerAssignment& former) {
+              return former.token < granter.state.level.token;
+          });
     return listed && Ownership::settled(granter.state, vmNow);
 }
 
@@ -199,16 +199,14 @@
 
 bool named(const Instance& instance, std::size_t vm)
 {
-    return std::any_of(instance.records.begin(), instance.records.end(), [vm](const RecordPlan& plan) {
-        return plan.dispatcher == vm || plan.successor == vm;
-    });
+    return std::any_of(instance.records.begin(), instance.records.end(),
+        [vm](const RecordPlan& plan) { return plan.dispatcher == vm || plan.successor == vm; });
 }
 
 bool namesUpstream(const Instance& instance, std::size_t upstream)
 {
-    return std::any_of(instance.records.begin(), instance.records.end(), [upstream](const RecordPlan& plan) {
-        return plan.owner == upstream || plan.standby == upstream;
-    });
+    return std::any_of(instance.records.begin(), instance.records.end(),
+        [upstream](const RecordPlan& plan) { return plan.owner == upstream || plan.standby == upstream; });
 }
 
 /// Requests other than grants do nothing late that their answers would not.
@@ -329,7 +327,8 @@
     const std::map<std::array<std::size_t, 3>, unsigned>::const_iterator known = fates.links.find(link);
     if (known != fates.links.end())
         return static_cast<Link>(known->second);
-    return static_cast<Link>(fates.links.emplace(link, choose(fates, leavesMark(world, message) ? 3 : 2)).first->second);
+    return static_cast<Link>(
+        fates.links.emplace(link, choose(fates, leavesMark(world, message) ? 3 : 2)).first->second);
 }
 
 Fate fateOf(const Instance& instance, const World& world, const Message& message, Fates& fates)
@@ -422,8 +421,9 @@
     case EventKind::Settle:
         return vm + " has the formers dropped from the log";
     default:
-        return event.index == noStall ? "a tick passes"
-                                      : "a tick passes that process " + std::to_string(event.index) + " misses";
+        return event.index == noStall
+            ? "a tick passes"
+            : "a tick passes that process " + std::to_string(event.index) + " misses";
     }
 }
 
@@ -471,8 +471,8 @@
     return events;
 }
 
-void apply(const Instance& instance, World& world, const Event& event, Fates& fates,
-    std::vector<std::string>* trace)
+void apply(
+    const Instance& instance, World& world, const Event& event, Fates& fates, std::vector<std::string>* trace)
 {
     note(trace, describe(world, event));
     begin(instance, world, event);
@@ -517,10 +517,12 @@
             return "vm" + std::to_string(index) + " sends to " + serving->upstream.value
                 + " while a request of another sender may be in flight";
         const Ownership::HolderState& holder = world.holders[upstream];
-        const bool sameStart = holder.incarnation == world.vms[index]->state.assignment.upstreams.at(serving->upstream);
+        const bool sameStart
+            = holder.incarnation == world.vms[index]->state.assignment.upstreams.at(serving->upstream);
         if (instance.checksGrants && instance.stalls == 0 && sameStart && holder.fence <= serving->level
             && !holds(holder))
-            return "vm" + std::to_string(index) + " sends to " + serving->upstream.value + ", which holds nothing";
+            return "vm" + std::to_string(index) + " sends to " + serving->upstream.value
+                + ", which holds nothing";
     }
     return std::nullopt;
 }
--- a/tests/explorer/world.h
+++ b/tests/explorer/world.h
@@ -16,8 +16,8 @@
 
 inline constexpr std::size_t vmCount = 3;
 
-/// A state of the whole small system. Clocks are not kept: all points in time are shifted so that each process
-/// reads the same time always.
+/// A state of the whole small system. Clocks are not kept: all points in time are shifted so that each
+/// process reads the same time always.
 struct World {
     std::array<std::shared_ptr<const Vm>, vmCount> vms;
     std::array<Ownership::HolderState, upstreamCount> holders;
--- a/tests/explorer/worldconstants.h
+++ b/tests/explorer/worldconstants.h
@@ -17,10 +17,7 @@
 /// What every upstream's clock always shows, in microseconds.
 inline constexpr std::int64_t holderNow = vmNow.time_since_epoch().count();
 
-inline Utils::VmId vmName(std::size_t index)
-{
-    return { "vm" + std::to_string(index) };
-}
+inline Utils::VmId vmName(std::size_t index) { return { "vm" + std::to_string(index) }; }
 
 inline Utils::UpstreamId upstreamName(std::size_t index)
 {
@@ -32,14 +29,8 @@
     return static_cast<std::size_t>(upstream.value.front() - 'A');
 }
 
-inline std::size_t vmIndex(const Utils::VmId& vm)
-{
-    return static_cast<std::size_t>(vm.value.back() - '0');
-}
+inline std::size_t vmIndex(const Utils::VmId& vm) { return static_cast<std::size_t>(vm.value.back() - '0'); }
 
-inline Utils::ShardId onlyShard()
-{
-    return { "s" };
-}
+inline Utils::ShardId onlyShard() { return { "s" }; }
 
 } // namespace Explorer
--- a/tests/standins/caller/connection.cpp
+++ b/tests/standins/caller/connection.cpp
@@ -16,12 +16,11 @@
 constexpr std::chrono::milliseconds connectPatience { 1'000 };
 
 /// Ends the exchange. The connection may be gone afterwards.
-void finish(Connection& connection, const AttemptResult& result, bool reusable)
+void finish(Connection& connection, AttemptResult result, bool reusable)
 {
     connection.stream.expires_never();
-    const AttemptResult finished = result;
     const ExchangeDone done = std::exchange(connection.done, nullptr);
-    done(finished, reusable);
+    done(std::move(result), reusable);
 }
 
 void fail(Connection& connection, const boost::system::error_code& error, AttemptFailure failure)
@@ -32,7 +31,7 @@
         failure = AttemptFailure::NoAnswer;
     AttemptResult result = resultFromFailure(failure);
     result.status = connection.result.status;
-    finish(connection, result, false);
+    finish(connection, std::move(result), false);
 }
 
 void readBody(Connection& connection);
--- a/tests/standins/caller/connection.h
+++ b/tests/standins/caller/connection.h
@@ -34,7 +34,7 @@
 };
 
 /// Called once for each exchange, with its result and whether the connection can carry another.
-using ExchangeDone = std::function<void(const AttemptResult& result, bool reusable)>;
+using ExchangeDone = std::function<void(AttemptResult result, bool reusable)>;
 
 /// A connection to an entry VM. It carries one exchange at a time.
 struct Connection {
--- a/tests/standins/caller/schedule.cpp
+++ b/tests/standins/caller/schedule.cpp
@@ -40,6 +40,7 @@
 std::vector<double> weightsOf(const std::vector<MixRow>& mix)
 {
     std::vector<double> weights;
+    weights.reserve(mix.size());
     for (const MixRow& row : mix)
         weights.push_back(row.weight);
     return weights;
