--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -21,22 +21,6 @@
 trap clean_up EXIT
 trap 'exit 130' INT TERM
 
-# stop_upstream_by_plan NAME: declares it as leaving, then stops it.
-stop_upstream_by_plan() {
-    cp -r "$declarations" "$work/leaving"
-    sed -i "s/{\"name\": \"$1\",/{\"name\": \"$1\", \"leaving\": true,/" "$work"/leaving/pools-*.json
-    publish "$work/leaving"
-    sleep 3
-    stop "upstream-$1"
-}
-
-# stop_vm_by_plan VM: lists it as leaving, then stops it.
-stop_vm_by_plan() {
-    curl -s -o /dev/null -X POST -d "$(vm_entry "$1" leaving)" "http://$vm_list/vms/${1%%:*}"
-    sleep 2
-    stop "vm-${1%%:*}"
-}
-
 start_system
 wait_until 10 publish "$declarations"
 wait_ready
--- a/scripts/systemprocesses.sh
+++ b/scripts/systemprocesses.sh
@@ -15,14 +15,14 @@
     pid[$name]=$!
 }
 
-# stop NAME [SIGNAL]: ends a process and waits for it; fails when it failed.
+# stop NAME [SIGNAL]: ends a process and waits for it; fails when it failed to end by itself.
 stop() {
     local name=$1 signal=${2:-TERM} status=0
     [ -n "${pid[$name]:-}" ] || return 0
     kill -"$signal" "${pid[$name]}" 2>/dev/null || true
     wait "${pid[$name]}" 2>/dev/null || status=$?
     unset "pid[$name]"
-    return $status
+    [ "$signal" = KILL ] || return $status
 }
 
 stop_all() {
@@ -68,7 +68,7 @@
     local name address slots
     read -r name address slots < <(grep "^$1 " "$work/upstreams")
     start "upstream-$name" "$bin/standinupstream" --listen "$address" --name "$name" --slots "$slots" \
-        --journal "$work/upstream-$name.jsonl" --seed "${seed:-1}"
+        --service-ms "${service_ms:-5}" --journal "$work/upstream-$name.jsonl" --seed "${seed:-1}"
 }
 
 # start_vm NAME
@@ -155,3 +155,19 @@
     for file in "$work"/upstream-*.jsonl; do arguments+=(--upstream "$file"); done
     "$bin/comparejournals" "${arguments[@]}"
 }
+
+# stop_upstream_by_plan NAME: declares it as leaving, then stops it.
+stop_upstream_by_plan() {
+    cp -r "$declarations" "$work/leaving"
+    sed -i "s/{\"name\": \"$1\",/{\"name\": \"$1\", \"leaving\": true,/" "$work"/leaving/pools-*.json
+    publish "$work/leaving"
+    sleep 3
+    stop "upstream-$1"
+}
+
+# stop_vm_by_plan VM: lists it as leaving, then stops it.
+stop_vm_by_plan() {
+    curl -s -o /dev/null -X POST -d "$(vm_entry "$1" leaving)" "http://$vm_list/vms/${1%%:*}"
+    sleep 2
+    stop "vm-${1%%:*}"
+}
