--- a/tests/auto/commands/tst_statuscommand.cpp
+++ b/tests/auto/commands/tst_statuscommand.cpp
@@ -31,7 +31,7 @@
 {
     return "{\"name\":\"vm-a\",\"applied\":1,\"configuration_offset\":" + configurationOffset
         + R"(,"log_status":"following","leaving":false,
-        "duties":{"stock-west":{"role":"dispatcher","token":3,"epoch":1,"served":7,"shards":8}}})";
+        "duties":{"stock-west":{"role":"granting","token":3,"epoch":1,"served":7,"shards":8}}})";
 }
 
 /// What the VM answers, whether there is a second one, and what status ends with.
@@ -50,7 +50,7 @@
     const StatusRow rows[] = {
         { "current", statusText("1"), false, ExitCode::Ok,
             "vm-a (west-1, live): current, configuration at offset 1, log read to 1 (0 behind), following\n"
-            "  pool stock-west: dispatcher, serves 7 of 8 shards\n" },
+            "  pool stock-west: granting, serves 7 of 8 shards\n" },
         { "lagging", statusText("0"), false, ExitCode::Lagging,
             "vm-a (west-1, live): lags, configuration at offset 0" },
         { "no JSON", "{", false, ExitCode::Lagging, "vm-a (west-1, live): no answer: malformed" },
@@ -63,12 +63,14 @@
         INFO(row.name);
         const LogFixture log;
         REQUIRE(run(log.withLog({ "publish", "--base", "0", demoFolder() })).code == ExitCode::Ok);
-        StandInVmList::VmListService list;
+        boost::asio::io_context context { 1 };
+        StandInVmList::VmListService list(context);
         REQUIRE(StandInVmList::loadEntries(list, listText(row.second)));
-        const StandInSupport::BackgroundServer vms(StandInVmList::handlerOf(list));
-        const StandInSupport::BackgroundServer admin(
-            [&row](StandInSupport::HttpRequest) -> boost::asio::awaitable<StandInSupport::HttpReply> {
-                co_return StandInSupport::HttpReply { 200, row.answer };
+        const StandInSupport::BackgroundServer vms(context, StandInVmList::handlerOf(list));
+        boost::asio::io_context adminContext { 1 };
+        const StandInSupport::BackgroundServer admin(adminContext,
+            [&row](const StandInSupport::HttpRequest&, const StandInSupport::ReplyFunction& reply) {
+                reply({ 200, row.answer });
             });
         const RunResult result = run(log.withLog({ "status", "--vms",
             "127.0.0.1:" + std::to_string(vms.port()), "--admin-port", std::to_string(admin.port()) }));
@@ -85,9 +87,10 @@
     const LogFixture log(faults);
     CHECK(run(log.withLog({ "status" })).code == ExitCode::Usage);
     CHECK(run(log.withLog({ "status", "--vms", "127.0.0.1:1" })).code == ExitCode::NotFound);
-    StandInVmList::VmListService list;
+    boost::asio::io_context context { 1 };
+    StandInVmList::VmListService list(context);
     REQUIRE(StandInVmList::loadEntries(list, listText(false)));
-    const StandInSupport::BackgroundServer vms(StandInVmList::handlerOf(list));
+    const StandInSupport::BackgroundServer vms(context, StandInVmList::handlerOf(list));
     const RunResult result = run(log.withLog(
         { "status", "--json", "--admin-port", "1", "--vms", "127.0.0.1:" + std::to_string(vms.port()) }));
     CHECK(result.code == ExitCode::LogUnreachable);
