--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -2,7 +2,7 @@
 # Installs the packages that the build needs. Does nothing when they are there.
 set -euo pipefail
 packages=(
-    g++ cmake ninja-build ccache clang-format clang-tidy python3
+    g++ cmake ninja-build ccache clang-format clang-tidy python3 curl
     libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev libflatbuffers-dev
     libtclap-dev libeasyloggingpp-dev libtrompeloeil-cpp-dev catch2
     librapidcheck-dev libxxhash-dev
--- a/src/libs/gateway/holdercalls.cpp
+++ b/src/libs/gateway/holdercalls.cpp
@@ -64,9 +64,16 @@
         []() { return std::optional<Ownership::HolderAnswer>(); });
 }
 
+/// What is asked of an upstream's control endpoint.
+struct HolderCall {
+    http::verb method = http::verb::post;
+    std::string target;
+    std::string body;
+};
+
 /// One exchange; nothing when it fails in any way.
 asio::awaitable<std::optional<Ownership::HolderAnswer>> exchange(
-    ControlState& state, Utils::UpstreamId id, http::verb method, std::string target, std::string body)
+    ControlState& state, const Utils::UpstreamId& id, const HolderCall& call)
 {
     const Declarations::Upstream* found
         = state.configuration == nullptr ? nullptr : findUpstream(*state.configuration, id);
@@ -76,8 +83,8 @@
     std::unique_ptr<UpstreamConnection> connection = co_await connectionTo(state, upstream);
     if (connection == nullptr)
         co_return std::nullopt;
-    http::request<http::string_body> request(method, target, httpVersion);
-    request.body() = std::move(body);
+    http::request<http::string_body> request(call.method, call.target, httpVersion);
+    request.body() = call.body;
     request.prepare_payload();
     boost::system::error_code error;
     connection->stream.expires_after(controlTimeout);
@@ -128,8 +135,10 @@
 boost::asio::awaitable<void> callHolder(ControlState& state, Utils::PoolId pool, Ownership::SendGrant call)
 {
     state.metrics.counters.add(Counter::GrantsSent);
-    const std::optional<Ownership::HolderAnswer> answer = co_await Internal::exchange(
-        state, call.upstream, boost::beast::http::verb::post, "/control/grant", encodeGrant(call.request));
+    // Named, since GCC 12 destroys such a temporary twice when it stands in a co_await expression.
+    const Internal::HolderCall grant { boost::beast::http::verb::post, "/control/grant", encodeGrant(call.request) };
+    const std::optional<Ownership::HolderAnswer> answer
+        = co_await Internal::exchange(state, call.upstream, grant);
     Internal::noteHealth(state, call.upstream, answer);
     if (answer)
         noteHolderAnswer(state, pool, call.upstream, call.askId, *answer);
@@ -142,12 +151,11 @@
     const Declarations::Upstream* upstream
         = state.configuration == nullptr ? nullptr : findUpstream(*state.configuration, call.upstream);
     const bool checks = upstream == nullptr || upstream->checksGrants;
-    std::optional<Ownership::HolderAnswer> answer;
+    Internal::HolderCall fence { http::verb::get, "/control/state", "" };
     if (checks)
-        answer = co_await Internal::exchange(
-            state, call.upstream, http::verb::post, "/control/fence", encodeFence(call.request));
-    else
-        answer = co_await Internal::exchange(state, call.upstream, http::verb::get, "/control/state", "");
+        fence = { http::verb::post, "/control/fence", encodeFence(call.request) };
+    const std::optional<Ownership::HolderAnswer> answer
+        = co_await Internal::exchange(state, call.upstream, fence);
     Internal::noteHealth(state, call.upstream, answer);
     if (answer)
         noteHolderAnswer(state, pool, call.upstream, call.askId, *answer);
@@ -155,8 +163,9 @@
 
 boost::asio::awaitable<void> pollUpstream(ControlState& state, Utils::UpstreamId upstream)
 {
+    const Internal::HolderCall question { boost::beast::http::verb::get, "/control/state", "" };
     const std::optional<Ownership::HolderAnswer> answer
-        = co_await Internal::exchange(state, upstream, boost::beast::http::verb::get, "/control/state", "");
+        = co_await Internal::exchange(state, upstream, question);
     Internal::noteHealth(state, upstream, answer);
 }
 
--- a/src/libs/gateway/proposals.cpp
+++ b/src/libs/gateway/proposals.cpp
@@ -28,21 +28,9 @@
 /// Silence after which an upstream gets no shards in proposals.
 constexpr Utils::Duration upstreamSilence = std::chrono::milliseconds(1000);
 
-std::map<Utils::VmId, unsigned> countDuties(const ControlState& state)
-{
-    std::map<Utils::VmId, unsigned> duties;
-    for (const std::pair<const Utils::PoolId, PoolAssignment>& entry :
-        state.reader.state.agreed.assignments) {
-        ++duties[entry.second.dispatcher.vm];
-        ++duties[entry.second.successor.vm];
-    }
-    return duties;
-}
-
 std::map<Utils::VmId, VmCandidate> aliveVms(const ControlState& state)
 {
     const Utils::Instant now = Utils::monotonicNow();
-    std::map<Utils::VmId, unsigned> duties = countDuties(state);
     std::map<Utils::VmId, VmCandidate> alive;
     for (const std::pair<const Utils::VmId, Platform::VmEntry>& entry : state.vms) {
         const auto health = state.health.find(entry.first);
@@ -50,20 +38,28 @@
             || !Membership::isAlive(health->second, now, vmSilence))
             continue;
         const bool leaving = health->second.leaving || entry.second.state == Platform::VmState::Leaving;
-        alive[entry.first] = { health->second.incarnation, entry.second.region, entry.second.zone, leaving,
-            duties[entry.first] };
+        const Agreement::VmStart start { entry.first, health->second.incarnation };
+        alive[entry.first] = { { start, entry.second.zone, entry.second.region }, leaving };
     }
-    alive[state.self.vm] = { state.self.incarnation, state.settings.region, state.settings.zone,
-        state.leaving, duties[state.self.vm] };
+    alive[state.self.vm] = { { state.self, state.settings.zone, state.settings.region }, state.leaving };
     return alive;
 }
 
+/// The upstreams declared for \a pool; none when it is no longer declared.
+const std::map<Utils::UpstreamId, Declarations::Upstream>& upstreamsOf(
+    const ControlState& state, const Utils::PoolId& pool)
+{
+    static const std::map<Utils::UpstreamId, Declarations::Upstream> none;
+    const auto declared = state.configuration->pools.find(pool);
+    return declared == state.configuration->pools.end() ? none : declared->second.upstreams;
+}
+
 std::map<Utils::UpstreamId, Utils::Incarnation> answeringUpstreams(
-    const ControlState& state, const Declarations::UpstreamPool& pool)
+    const ControlState& state, const Utils::PoolId& pool)
 {
     const Utils::Instant now = Utils::monotonicNow();
     std::map<Utils::UpstreamId, Utils::Incarnation> answering;
-    for (const std::pair<const Utils::UpstreamId, Declarations::Upstream>& entry : pool.upstreams) {
+    for (const std::pair<const Utils::UpstreamId, Declarations::Upstream>& entry : upstreamsOf(state, pool)) {
         const auto health = state.upstreams.find(entry.first);
         if (health != state.upstreams.end() && health->second.lastHeard
             && now - *health->second.lastHeard <= upstreamSilence)
@@ -72,12 +68,23 @@
     return answering;
 }
 
-ProposalInput inputFor(const ControlState& state, const Declarations::UpstreamPool& pool,
-    const std::map<Utils::VmId, VmCandidate>& alive)
+/// Every pool that is declared or still assigned.
+std::set<Utils::PoolId> knownPools(const ControlState& state)
 {
-    ProposalInput input { *state.configuration, state.reader.state.agreed, pool.id, state.self.vm, alive,
-        answeringUpstreams(state, pool), {} };
-    const auto granter = state.granters.find(pool.id);
+    std::set<Utils::PoolId> pools;
+    for (const std::pair<const Utils::PoolId, Declarations::UpstreamPool>& entry : state.configuration->pools)
+        pools.insert(entry.first);
+    for (const std::pair<const Utils::PoolId, PoolAssignment>& entry : state.reader.state.agreed.assignments)
+        pools.insert(entry.first);
+    return pools;
+}
+
+ProposalInput inputFor(
+    const ControlState& state, const Utils::PoolId& pool, const std::map<Utils::VmId, VmCandidate>& alive)
+{
+    ProposalInput input { state.reader.state, pool, state.self.vm, alive, answeringUpstreams(state, pool),
+        {} };
+    const auto granter = state.granters.find(pool);
     if (granter != state.granters.end() && granter->second.role == Ownership::GranterRole::Granting)
         input.served = granter->second.served;
     return input;
@@ -94,18 +101,22 @@
         state.metrics.counters.add(Counter::RingFull);
 }
 
-/// All upstreams of the pool have been asked often enough to tell silence from not having asked.
-bool knowsUpstreams(const ControlState& state, const Declarations::UpstreamPool& pool)
+/// Whether each upstream of the pool has answered, or has been asked long enough ago to be silent.
+bool knowsUpstreams(const ControlState& state, const Utils::PoolId& pool)
 {
-    for (const std::pair<const Utils::UpstreamId, Declarations::Upstream>& entry : pool.upstreams) {
-        if (!state.upstreams.contains(entry.first))
+    const Utils::Instant now = Utils::monotonicNow();
+    for (const std::pair<const Utils::UpstreamId, Declarations::Upstream>& entry : upstreamsOf(state, pool)) {
+        const auto health = state.upstreams.find(entry.first);
+        if (health == state.upstreams.end())
+            return false;
+        const bool silent = health->second.firstAsked && now - *health->second.firstAsked > upstreamSilence;
+        if (!health->second.lastHeard && !silent)
             return false;
     }
     return true;
 }
 
-void proposeAssignmentDue(
-    ControlState& state, const Declarations::UpstreamPool& pool, const ProposalInput& input)
+void proposeAssignmentDue(ControlState& state, const Utils::PoolId& pool, const ProposalInput& input)
 {
     if (!knowsUpstreams(state, pool))
         return;
@@ -114,7 +125,7 @@
         return;
     record->header = nextHeader(state);
     Logging::write(Logging::Level::Info, "proposal",
-        { { "pool", pool.id.value }, { "based_on", record->basedOn },
+        { { "pool", pool.value }, { "based_on", record->basedOn },
             { "dispatcher", record->dispatcher.vm.value }, { "successor", record->successor.vm.value },
             { "upstreams", record->upstreams.size() } });
     append(state, *record);
@@ -156,16 +167,17 @@
         return;
     const Utils::Instant now = Utils::monotonicNow();
     const std::map<Utils::VmId, Membership::VmCandidate> alive = Internal::aliveVms(state);
-    for (const std::pair<const Utils::PoolId, Declarations::UpstreamPool>& pool :
-        state.configuration->pools) {
-        if (!Membership::isProposer(Internal::inputFor(state, pool.second, alive)))
+    for (const Utils::PoolId& pool : Internal::knownPools(state)) {
+        if (!Membership::isProposer(Internal::inputFor(state, pool, alive)))
             continue;
         for (const std::pair<const Utils::UpstreamId, Declarations::Upstream>& entry :
-            pool.second.upstreams) {
+            Internal::upstreamsOf(state, pool)) {
             UpstreamHealth& health = state.upstreams[entry.first];
             if (now - health.lastAsked < upstreamPollEvery)
                 continue;
             health.lastAsked = now;
+            if (!health.firstAsked)
+                health.firstAsked = now;
             boost::asio::co_spawn(state.context, pollUpstream(state, entry.first), boost::asio::detached);
         }
     }
@@ -177,16 +189,15 @@
         return;
     const Utils::Instant now = Utils::monotonicNow();
     const std::map<Utils::VmId, Membership::VmCandidate> alive = Internal::aliveVms(state);
-    for (const std::pair<const Utils::PoolId, Declarations::UpstreamPool>& pool :
-        state.configuration->pools) {
-        Utils::Instant& last = state.lastProposal[pool.first];
+    for (const Utils::PoolId& pool : Internal::knownPools(state)) {
+        Utils::Instant& last = state.lastProposal[pool];
         if (now - last < proposalEvery)
             continue;
         last = now;
-        Internal::proposeSettlement(state, pool.first);
-        const Membership::ProposalInput input = Internal::inputFor(state, pool.second, alive);
+        Internal::proposeSettlement(state, pool);
+        const Membership::ProposalInput input = Internal::inputFor(state, pool, alive);
         if (Membership::isProposer(input))
-            Internal::proposeAssignmentDue(state, pool.second, input);
+            Internal::proposeAssignmentDue(state, pool, input);
     }
     Utils::Instant& last = state.lastProposal[{}];
     if (now - last < proposalEvery)
--- a/src/libs/gateway/upstreamexchange.cpp
+++ b/src/libs/gateway/upstreamexchange.cpp
@@ -360,8 +360,9 @@
     const Declarations::Upstream* declared = findUpstream(*state.routing->configuration, upstream);
     if (declared == nullptr)
         co_return;
-    const std::unique_ptr<UpstreamConnection> connection
-        = co_await Internal::openConnection(state, { declared->address, declared->port });
+    // Named, since GCC 12 destroys such a temporary twice when it stands in a co_await expression.
+    const Settings::Endpoint place { declared->address, declared->port };
+    const std::unique_ptr<UpstreamConnection> connection = co_await Internal::openConnection(state, place);
     if (connection == nullptr)
         co_return;
     http::request<http::string_body> request(http::verb::post, "/control/cancel", 11);
--- a/src/libs/gateway/upstreamhealth.h
+++ b/src/libs/gateway/upstreamhealth.h
@@ -12,6 +12,7 @@
     /// The start that answered last; 0 before the first answer.
     Utils::Incarnation incarnation = 0;
     std::optional<Utils::Instant> lastHeard;
+    std::optional<Utils::Instant> firstAsked;
     Utils::Instant lastAsked {};
 };
 
--- a/src/libs/membership/proposal.h
+++ b/src/libs/membership/proposal.h
@@ -14,6 +14,7 @@
 bool isProposer(const ProposalInput& input);
 
 /// The assignment that the pool should have, without its header; nothing when it has it, or none is possible.
+/// A pool that is no longer declared is closed.
 std::optional<Agreement::AssignmentRecord> proposeAssignment(const ProposalInput& input);
 
 } // namespace Membership
--- a/src/libs/membership/proposalinput.h
+++ b/src/libs/membership/proposalinput.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include <agreement/agreedstate.h>
-#include <declarations/configuration.h>
+#include <agreement/logstate.h>
 #include <membership/vmcandidate.h>
 #include <utils/ids.h>
 
@@ -11,8 +10,8 @@
 
 /// What a VM knows when it considers a new assignment of one pool.
 struct ProposalInput {
-    const Declarations::Configuration& configuration;
-    const Agreement::AgreedState& agreed;
+    /// The agreed state; a configuration is in force.
+    const Agreement::LogState& log;
     Utils::PoolId pool;
     Utils::VmId self;
     /// VMs that are alive, this one among them.
--- a/src/libs/membership/vmcandidate.h
+++ b/src/libs/membership/vmcandidate.h
@@ -1,17 +1,14 @@
 #pragma once
 
-#include <utils/ids.h>
+#include <placement/vmcandidate.h>
 
 namespace Membership {
 
 /// A VM that is alive, as the one who proposes sees it.
 struct VmCandidate {
-    Utils::Incarnation incarnation = 0;
-    Utils::RegionId region;
-    Utils::ZoneId zone;
+    Placement::VmCandidate place;
+    /// Whether it is on its way out and gets no duties.
     bool leaving = false;
-    /// Pools that it dispatches for or stands by for.
-    unsigned duties = 0;
 };
 
 } // namespace Membership
--- a/tests/auto/membership/tst_proposal.cpp
+++ b/tests/auto/membership/tst_proposal.cpp
@@ -20,6 +20,8 @@
     Declarations::UpstreamPool declared;
     declared.id = pool;
     declared.region.value = "west";
+    configuration.policies[{ "usual" }].id.value = "usual";
+    configuration.services[{ "stock" }] = { { "stock" }, {}, {}, { "usual" }, 1 };
     for (unsigned number = 1; number <= 4; ++number) {
         Declarations::Upstream upstream;
         upstream.id.value = "u" + std::to_string(number);
@@ -29,12 +31,19 @@
     configuration.pools[pool] = declared;
     Declarations::KeyRange range;
     range.id.value = "all";
+    range.service.value = "stock";
     range.pool = pool;
     range.shards = 8;
     configuration.keyRanges[range.id] = range;
     return configuration;
 }
 
+Membership::VmCandidate candidate(const std::string& name, Utils::Incarnation incarnation,
+    const std::string& region, const std::string& zone)
+{
+    return { { { { name }, incarnation }, { zone }, { region } }, false };
+}
+
 PoolAssignment assignmentOf(const AssignmentRecord& record, Utils::Offset token)
 {
     return { record.pool, token, record.dispatcher, record.successor, record.upstreams, record.shards, {},
@@ -45,20 +54,25 @@
 /// them.
 struct Scene {
     Scene()
-        : input { this->configuration, this->agreed, pool, { "a" }, {}, {}, {} }
+        : input { this->log, pool, { "a" }, {}, {}, {} }
     {
-        this->input.vms = { { { "a" }, { 1, { "west" }, { "west-1" }, false, 0 } },
-            { { "b" }, { 2, { "west" }, { "west-2" }, false, 0 } },
-            { { "c" }, { 3, { "west" }, { "west-1" }, false, 0 } },
-            { { "e" }, { 5, { "east" }, { "east-1" }, false, 0 } } };
+        this->log.configuration = makeConfiguration();
+        this->input.vms = { { { "a" }, candidate("a", 1, "west", "west-1") },
+            { { "b" }, candidate("b", 2, "west", "west-2") },
+            { { "c" }, candidate("c", 3, "west", "west-1") },
+            { { "e" }, candidate("e", 5, "east", "east-1") } };
         for (unsigned number = 1; number <= 4; ++number)
             this->input.upstreams[{ "u" + std::to_string(number) }] = 100 + number;
         this->first = *Membership::proposeAssignment(this->input);
-        this->agreed.assignments[pool] = assignmentOf(this->first, 10);
+        this->log.agreed.assignments[pool] = assignmentOf(this->first, 10);
     }
 
-    Declarations::Configuration configuration = makeConfiguration();
-    Agreement::AgreedState agreed;
+    const Declarations::Upstream& upstream(const Utils::UpstreamId& id) const
+    {
+        return this->log.configuration->pools.at(pool).upstreams.at(id);
+    }
+
+    Agreement::LogState log;
     ProposalInput input;
     AssignmentRecord first;
 };
@@ -81,12 +95,11 @@
     for (const std::pair<const Utils::UpstreamId, unsigned>& entry : shardsOwned(scene.first))
         REQUIRE(entry.second == 2);
     for (const std::pair<const Utils::ShardId, Agreement::ShardAssignment>& entry : scene.first.shards)
-        REQUIRE(scene.configuration.pools.at(pool).upstreams.at(entry.second.owner).zone
-            != scene.configuration.pools.at(pool).upstreams.at(entry.second.standby).zone);
+        REQUIRE(scene.upstream(entry.second.owner).zone != scene.upstream(entry.second.standby).zone);
     REQUIRE(scene.input.vms.at(scene.first.dispatcher.vm).zone
         != scene.input.vms.at(scene.first.successor.vm).zone);
-    REQUIRE(scene.input.vms.at(scene.first.dispatcher.vm).region.value == "west");
-    REQUIRE(scene.input.vms.at(scene.first.successor.vm).region.value == "west");
+    REQUIRE(scene.input.vms.at(scene.first.dispatcher.vm).place.region.value == "west");
+    REQUIRE(scene.input.vms.at(scene.first.successor.vm).place.region.value == "west");
 }
 
 TEST_CASE("nothing is proposed while the assignment fits", "[proposal]")
@@ -104,13 +117,14 @@
     REQUIRE(next->basedOn == 10);
     REQUIRE(next->dispatcher == scene.first.successor);
     REQUIRE(next->successor.vm != scene.first.dispatcher.vm);
+    REQUIRE(next->successor.vm != next->dispatcher.vm);
     REQUIRE(next->shards == scene.first.shards);
 }
 
 TEST_CASE("a VM that restarted is another start and is named anew", "[proposal]")
 {
     Scene scene;
-    scene.input.vms.at(scene.first.successor.vm).incarnation = 77;
+    scene.input.vms.at(scene.first.successor.vm).place.start.incarnation = 77;
     const std::optional<AssignmentRecord> next = Membership::proposeAssignment(scene.input);
     REQUIRE(next.has_value());
     REQUIRE(next->dispatcher == scene.first.dispatcher);
@@ -141,6 +155,24 @@
     }
 }
 
+TEST_CASE("a pool that is no longer declared is closed", "[proposal]")
+{
+    Scene scene;
+    scene.log.configuration->pools.clear();
+    scene.log.configuration->keyRanges.clear();
+    const std::optional<AssignmentRecord> next = Membership::proposeAssignment(scene.input);
+    REQUIRE(next.has_value());
+    REQUIRE(next->upstreams.empty());
+    REQUIRE(next->shards.empty());
+}
+
+TEST_CASE("a pool keeps what it has while none of its upstreams answers", "[proposal]")
+{
+    Scene scene;
+    scene.input.upstreams.clear();
+    REQUIRE_FALSE(Membership::proposeAssignment(scene.input).has_value());
+}
+
 TEST_CASE("where a shard is served comes before where it was agreed", "[proposal]")
 {
     Scene scene;
