Tell in a fault run which processes died unbidden

A daemon that aborted went unseen when every promise was kept. The stand-in upstream also no longer fails when a connection is gone before its options are set.

--- a/scripts/faultrun.sh
+++ b/scripts/faultrun.sh
@@ -61,9 +61,17 @@
     done
 }
 
+# died: names of processes that ended without being told to.
+died() {
+    local name
+    for name in "${!pid[@]}"; do
+        kill -0 "${pid[$name]}" 2>/dev/null || echo "\"$name\""
+    done | paste -sd, -
+}
+
 # run_scenario NAME ACTION: its JSON line; keeps the folder when a promise was broken.
 run_scenario() {
-    local status=0 lines detail summary
+    local status=0 lines detail summary dead
     work=$(mktemp -d)
     start_system
     if ! wait_until 10 publish "$declarations" || ! wait_ready; then
@@ -76,6 +84,8 @@
     eval "$2" || echo "faultrun: $1: the fault could not be brought about" >&2
     wait_callers || status=1
     lines=$(compare_journals 2>"$work/findings.log") || status=1
+    dead=$(died)
+    [ -z "$dead" ] || status=1
     stop_all
     pid=()
     detail=$(sed -n 1p <<<"$lines")
@@ -84,7 +94,7 @@
         echo "{\"scenario\":\"$1\",\"seed\":$seed,\"result\":\"kept\",${detail:1:-1},${summary:1:-1}}"
         rm -rf "$work"
     else
-        echo "{\"scenario\":\"$1\",\"seed\":$seed,\"result\":\"broken\",\"folder\":\"$work\",${detail:1:-1},${summary:1:-1}}"
+        echo "{\"scenario\":\"$1\",\"seed\":$seed,\"result\":\"broken\",\"died\":[$dead],\"folder\":\"$work\",${detail:1:-1},${summary:1:-1}}"
     fi
     return $status
 }
--- a/tests/standins/upstream/listener.cpp
+++ b/tests/standins/upstream/listener.cpp
@@ -23,7 +23,8 @@
             if (error == boost::asio::error::operation_aborted)
                 return;
             if (!error) {
-                socket.set_option(boost::asio::ip::tcp::no_delay(true));
+                boost::system::error_code ignored;
+                socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
                 server.lastConnection = ConnectionId { server.lastConnection.value + 1 };
                 server.sessions.try_emplace(server.lastConnection, std::move(socket));
                 readRequest(server, server.lastConnection);
