--- a/src/libs/gateway/callerwriter.cpp
+++ b/src/libs/gateway/callerwriter.cpp
@@ -113,7 +113,8 @@
     if (Internal::hasLength(head))
         co_return co_await Internal::writeBytes(caller, boost::asio::buffer(bytes));
     // Named, since GCC 12 destroys such a temporary twice when it stands in a co_await expression.
-    const boost::beast::http::chunk_body<boost::asio::const_buffer> chunk(boost::asio::const_buffer(bytes.data(), bytes.size()));
+    const boost::beast::http::chunk_body<boost::asio::const_buffer> chunk(
+        boost::asio::const_buffer(bytes.data(), bytes.size()));
     co_return co_await Internal::writeBytes(caller, chunk);
 }
 
@@ -121,7 +122,8 @@
 {
     if (Internal::hasLength(head))
         co_return true;
-    const boost::beast::http::chunk_last<boost::beast::http::chunk_crlf> last = boost::beast::http::make_chunk_last();
+    const boost::beast::http::chunk_last<boost::beast::http::chunk_crlf> last
+        = boost::beast::http::make_chunk_last();
     co_return co_await Internal::writeBytes(caller, last);
 }
 
--- a/src/libs/gateway/holdercalls.cpp
+++ b/src/libs/gateway/holdercalls.cpp
@@ -136,7 +136,8 @@
 {
     state.metrics.counters.add(Counter::GrantsSent);
     // Named, since GCC 12 destroys such a temporary twice when it stands in a co_await expression.
-    const Internal::HolderCall grant { boost::beast::http::verb::post, "/control/grant", encodeGrant(call.request) };
+    const Internal::HolderCall grant { boost::beast::http::verb::post, "/control/grant",
+        encodeGrant(call.request) };
     const std::optional<Ownership::HolderAnswer> answer
         = co_await Internal::exchange(state, call.upstream, grant);
     Internal::noteHealth(state, call.upstream, answer);
--- a/src/libs/membership/proposal.cpp
+++ b/src/libs/membership/proposal.cpp
@@ -112,9 +112,20 @@
     return Placement::placeShards(wanted).shards;
 }
 
-bool sameAsCurrent(const AssignmentRecord& record, const PoolAssignment* current)
+/// Whether every shard is served where \a record wants it, as far as that is known.
+bool servedAsWanted(const ProposalInput& input, const AssignmentRecord& record)
 {
-    return current != nullptr && record.dispatcher == current->dispatcher
+    for (const std::pair<const Utils::ShardId, Utils::UpstreamId>& entry : input.served) {
+        const auto wanted = record.shards.find(entry.first);
+        if (wanted != record.shards.end() && wanted->second.owner != entry.second)
+            return false;
+    }
+    return true;
+}
+
+bool sameAsCurrent(const ProposalInput& input, const AssignmentRecord& record, const PoolAssignment* current)
+{
+    return current != nullptr && servedAsWanted(input, record) && record.dispatcher == current->dispatcher
         && record.successor == current->successor && record.upstreams == current->upstreams
         && record.shards == current->shards;
 }
@@ -151,7 +162,7 @@
         record.upstreams[entry.first] = input.upstreams.at(entry.first);
     if (!usable.empty())
         record.shards = Internal::chooseShards(input, usable);
-    if (Internal::sameAsCurrent(record, current))
+    if (Internal::sameAsCurrent(input, record, current))
         return std::nullopt;
     return record;
 }
--- a/tests/auto/gateway/sampleconfiguration.h
+++ b/tests/auto/gateway/sampleconfiguration.h
@@ -26,7 +26,7 @@
     Declarations::UpstreamPool pool;
     pool.id.value = "stock-west";
     pool.region.value = "west";
-    for (const std::string& name : { "u1", "u2" }) {
+    for (const std::string name : { "u1", "u2" }) {
         Declarations::Upstream upstream;
         upstream.id.value = name;
         upstream.zone.value = name == "u1" ? "west-1" : "west-2";
--- a/tests/auto/membership/tst_proposal.cpp
+++ b/tests/auto/membership/tst_proposal.cpp
@@ -96,8 +96,8 @@
         REQUIRE(entry.second == 2);
     for (const std::pair<const Utils::ShardId, Agreement::ShardAssignment>& entry : scene.first.shards)
         REQUIRE(scene.upstream(entry.second.owner).zone != scene.upstream(entry.second.standby).zone);
-    REQUIRE(scene.input.vms.at(scene.first.dispatcher.vm).zone
-        != scene.input.vms.at(scene.first.successor.vm).zone);
+    REQUIRE(scene.input.vms.at(scene.first.dispatcher.vm).place.zone
+        != scene.input.vms.at(scene.first.successor.vm).place.zone);
     REQUIRE(scene.input.vms.at(scene.first.dispatcher.vm).place.region.value == "west");
     REQUIRE(scene.input.vms.at(scene.first.successor.vm).place.region.value == "west");
 }
@@ -179,11 +179,25 @@
     const Utils::ShardId shard = scene.first.shards.begin()->first;
     const Utils::UpstreamId standby = scene.first.shards.begin()->second.standby;
     scene.input.served[shard] = standby;
+    scene.log.configuration->policies.at({ "usual" }).placement.moveBudget = 0;
     const std::optional<AssignmentRecord> next = Membership::proposeAssignment(scene.input);
     REQUIRE(next.has_value());
     REQUIRE(next->shards.at(shard).owner == standby);
 }
 
+TEST_CASE(
+    "a shard that went to its standby comes back for the sake of balance, by a new record", "[proposal]")
+{
+    Scene scene;
+    const Utils::ShardId shard = scene.first.shards.begin()->first;
+    scene.input.served[shard] = scene.first.shards.begin()->second.standby;
+    scene.log.configuration->policies.at({ "usual" }).placement.moveBudget = 1;
+    const std::optional<AssignmentRecord> next = Membership::proposeAssignment(scene.input);
+    REQUIRE(next.has_value());
+    for (const std::pair<const Utils::UpstreamId, unsigned>& entry : shardsOwned(*next))
+        REQUIRE(entry.second == 2);
+}
+
 TEST_CASE("one VM proposes at a time", "[proposal]")
 {
     struct Row {
