Let a shard's former owner finish before the new one starts

Leases did not overlap, but the key was being served at two upstreams. The dispatcher knows what runs where: a shard that moves now waits until its works at the former upstream have ended, for 500 ms at most, so that a frozen owner does not orphan it. Works that come meanwhile wait like those of any shard between owners.

Two rows of tst_placement started work at the new owner while the former one was running; they now end that work first, and check that nothing starts before.

--- a/scripts/check-lint.sh
+++ b/scripts/check-lint.sh
@@ -9,8 +9,10 @@
 rules=$(sha256sum .clang-tidy | cut -d' ' -f1)
 
 lint_one() {
-    local file=$1 key out
-    key=$(python3 scripts/lintkey.py "$file" "$rules")
+    local file=$1 key out own
+    own=$(dirname "$file")/.clang-tidy
+    [ -f "$own" ] && own=$(sha256sum "$own" | cut -d' ' -f1) || own=
+    key=$(python3 scripts/lintkey.py "$file" "$rules$own")
     [ -e "$cache/$key" ] && return 0
     if out=$(clang-tidy -p build --quiet "$file" 2>/dev/null); then
         : >"$cache/$key"
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -5,6 +5,10 @@
 name=${1:-}
 seed=${2:-1}
 
+measure_agreement() { build/bin/measureagreement; }
+measure_ownership() { build/bin/measureownership 150 "$seed"; }
+measure_capacity() { bash scripts/measurecapacity.sh; }
+measure_placement() { build/bin/measureplacement; }
 measure_service() { build/bin/measureservice --seed "$seed"; }
 
 if ! declare -F "measure_$name" >/dev/null; then
--- a/src/libs/dispatch/dispatchcaps.h
+++ b/src/libs/dispatch/dispatchcaps.h
@@ -25,6 +25,8 @@
     unsigned maxStarts = 3;
     /// Longest wait for an owner of a shard, or for an upstream that can't be used.
     Utils::Duration ownerWait = std::chrono::seconds(2);
+    /// Longest wait of a shard for works of it that its former upstream still runs.
+    Utils::Duration moveWait = std::chrono::milliseconds(500);
     /// Time for which a leaving upstream still gets new work.
     Utils::Duration leavingGrace = std::chrono::seconds(2);
     /// Time for which a slot whose work was lost or timed out counts as taken.
--- a/src/libs/dispatch/dispatcher.cpp
+++ b/src/libs/dispatch/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include <dispatch/capacity.h>
 #include <dispatch/dispatchconstants.h>
 #include <dispatch/memory.h>
+#include <dispatch/moves.h>
 #include <dispatch/poison.h>
 #include <dispatch/queueing.h>
 #include <dispatch/scheduling.h>
@@ -132,6 +133,7 @@
     std::vector<Action> actions;
     state.now = now;
     endGraces(state, now);
+    Internal::completeMoves(state, now, actions);
     Internal::giveUpDue(state, now, actions);
     Internal::expireMemory(state.memory, now, actions);
     Internal::expirePoison(state.poison, now);
@@ -141,7 +143,7 @@
 
 Utils::Instant nextTick(const DispatchState& state)
 {
-    Utils::Instant next = Utils::Instant::max();
+    Utils::Instant next = Internal::nextMove(state);
     if (!state.giveUps.empty())
         next = std::min(next, state.giveUps.begin()->first);
     if (!state.memory.expiries.empty())
--- a/src/libs/dispatch/dispatchstate.h
+++ b/src/libs/dispatch/dispatchstate.h
@@ -4,6 +4,7 @@
 #include <dispatch/dispatchoptions.h>
 #include <dispatch/poisontable.h>
 #include <dispatch/requestmemory.h>
+#include <dispatch/shardmove.h>
 #include <dispatch/shardplace.h>
 #include <dispatch/upstreamstate.h>
 #include <dispatch/workentry.h>
@@ -31,6 +32,8 @@
     std::map<Utils::RankId, std::size_t> rankIndex;
     std::map<Utils::UpstreamId, UpstreamState> upstreams;
     std::map<Utils::ShardId, ShardPlace> shards;
+    /// Shards without an owner until their former one has finished.
+    std::map<Utils::ShardId, ShardMove> moves;
     std::unordered_map<Requests::WorkId, WorkEntry> works;
     /// When queued and waiting works are given up.
     std::set<std::pair<Utils::Instant, Requests::WorkId>> giveUps;
--- a/src/libs/dispatch/placement.cpp
+++ b/src/libs/dispatch/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <dispatch/capacity.h>
 #include <dispatch/dispatchconstants.h>
+#include <dispatch/moves.h>
 #include <dispatch/queueing.h>
 #include <dispatch/scheduling.h>
 
@@ -65,20 +66,38 @@
 
 } // namespace
 
-std::vector<Action> placeShard(DispatchState& state, const Utils::ShardId& shard,
-    const std::optional<Utils::UpstreamId>& upstream, Utils::Instant now)
+namespace Internal {
+
+void putShard(DispatchState& state, const Utils::ShardId& shard,
+    const std::optional<Utils::UpstreamId>& upstream, Utils::Instant now, std::vector<Action>& actions)
 {
-    std::vector<Action> actions;
-    state.now = now;
     ShardPlace& place = placeOf(state, shard, now);
     if (place.upstream == upstream)
-        return actions;
+        return;
     const std::vector<WorkId> moved = takeWaiting(state, shard);
     if (!upstream.has_value())
         place.unownedSince = now;
     place.upstream = upstream;
     for (const WorkId id : moved)
-        Internal::enqueue(state, state.works.at(id), false, now, actions);
+        enqueue(state, state.works.at(id), false, now, actions);
+}
+
+} // namespace Internal
+
+std::vector<Action> placeShard(DispatchState& state, const Utils::ShardId& shard,
+    const std::optional<Utils::UpstreamId>& upstream, Utils::Instant now)
+{
+    std::vector<Action> actions;
+    state.now = now;
+    if (upstream.has_value() && Internal::runsElsewhere(state, shard, *upstream)) {
+        state.moves.try_emplace(shard, ShardMove { *upstream, now + state.options.caps.moveWait })
+            .first->second.upstream
+            = *upstream;
+        Internal::putShard(state, shard, std::nullopt, now, actions);
+    } else {
+        state.moves.erase(shard);
+        Internal::putShard(state, shard, upstream, now, actions);
+    }
     Internal::giveUpDue(state, now, actions);
     Internal::scheduleAll(state, now, actions);
     return actions;
--- a/src/libs/dispatch/results.cpp
+++ b/src/libs/dispatch/results.cpp
@@ -5,6 +5,7 @@
 #include <dispatch/dispatchconstants.h>
 #include <dispatch/lanes.h>
 #include <dispatch/memory.h>
+#include <dispatch/moves.h>
 #include <dispatch/poison.h>
 #include <dispatch/queueing.h>
 #include <dispatch/scheduling.h>
@@ -141,8 +142,12 @@
         finishUnknown(state, upstream, entry, result, now, actions);
         break;
     }
+    const bool shardsWait = !state.moves.empty();
+    Internal::completeMoves(state, now, actions);
     Internal::giveUpDue(state, now, actions);
     Internal::schedule(state, upstream, now, actions);
+    if (shardsWait)
+        Internal::scheduleAll(state, now, actions);
     dropIfGone(state, upstreamId);
     return actions;
 }
--- a/src/libs/gateway/dispatchduty.cpp
+++ b/src/libs/gateway/dispatchduty.cpp
@@ -192,7 +192,7 @@
     return next == Utils::Instant::max() ? Utils::monotonicNow() + Internal::longestWait : next;
 }
 
-void DispatchDuty::send(NetworkEvent event)
+void DispatchDuty::send(const NetworkEvent& event)
 {
     while (!this->toNetwork(event)) {
         this->metrics.counters.add(Counter::RingFull);
--- a/src/libs/gateway/dispatchduty.h
+++ b/src/libs/gateway/dispatchduty.h
@@ -51,7 +51,7 @@
     void configurePool(const Utils::PoolId& id, Pool& pool);
     void tickPools();
     Utils::Instant nextTick() const;
-    void send(NetworkEvent event);
+    void send(const NetworkEvent& event);
 
     GatewayMetrics& metrics;
     std::function<bool(NetworkEvent)> toNetwork;
--- a/src/libs/gateway/logduty.cpp
+++ b/src/libs/gateway/logduty.cpp
@@ -127,7 +127,7 @@
     }
 }
 
-void LogDuty::send(ControlEvent event)
+void LogDuty::send(const ControlEvent& event)
 {
     while (!this->stopping && !this->toControl(event)) {
         this->metrics.counters.add(Counter::RingFull);
--- a/src/libs/gateway/logduty.h
+++ b/src/libs/gateway/logduty.h
@@ -31,7 +31,7 @@
     void appendLoop();
     void readOnce();
     void appendOnce(const std::string& text);
-    void send(ControlEvent event);
+    void send(const ControlEvent& event);
 
     const Platform::LogEndpoint endpoint;
     GatewayMetrics& metrics;
--- a/tests/auto/dispatch/tst_placement.cpp
+++ b/tests/auto/dispatch/tst_placement.cpp
@@ -46,6 +46,8 @@
     placeShard(state, shardOne, std::nullopt, start + 1ms);
     submit(state, work(6), start + 1ms);
     CHECK(state.waitingForOwner == 4);
+    finished(state, { 1 }, done(), start + 2ms);
+    finished(state, { 2 }, done(), start + 2ms);
     CHECK(startedBy(placeShard(state, shardOne, two, start + 2ms)) == std::vector<std::uint64_t> { 3, 4 });
     CHECK(state.waitingForOwner == 0);
     CHECK(state.upstreams.at(two).lanes.at(0).size == 2);
@@ -79,7 +81,8 @@
     Requests::Work late = work(2);
     late.deadline = start + 60s;
     CHECK(startedBy(submit(state, late, start + 2s)).empty());
-    CHECK(startedBy(placeShard(state, shardOne, two, start + 2100ms)).size() == 1);
+    CHECK(startedBy(placeShard(state, shardOne, two, start + 2100ms)).empty());
+    CHECK(startedBy(finished(state, { 1 }, done(), start + 2200ms)) == std::vector<std::uint64_t> { 2 });
 }
 
 TEST_CASE("An upstream that is usable again takes its queue up", "[placement]")
@@ -121,3 +124,26 @@
     CHECK_FALSE(state.upstreams.contains(one));
     CHECK(startedBy(placeShard(state, shardOne, two, start + 6ms)) == std::vector<std::uint64_t> { 3 });
 }
+
+TEST_CASE("The new owner gets no work of a shard while the former one still runs some of it", "[placement]")
+{
+    struct Row {
+        const char* name;
+        bool ends;
+        Utils::Duration waits;
+    };
+    const Row row = GENERATE(values<Row>({
+        { "until it has ended", true, 20ms },
+        { "or for a bounded time", false, 500ms },
+    }));
+    INFO(row.name);
+    DispatchState state = pool();
+    submit(state, work(1), start);
+    CHECK(startedBy(placeShard(state, shardOne, two, start + 1ms)).empty());
+    CHECK(startedBy(submit(state, work(2), start + 2ms)).empty());
+    CHECK(nextTick(state) <= start + 501ms);
+    const Utils::Instant then = start + 1ms + row.waits;
+    const std::vector<Action> actions = row.ends ? finished(state, { 1 }, done(), then) : tick(state, then);
+    CHECK(startedBy(actions) == std::vector<std::uint64_t> { 2 });
+    CHECK(state.upstreams.at(two).running.contains({ 2 }));
+}
