--- a/scripts/measurecapacity.sh
+++ b/scripts/measurecapacity.sh
@@ -71,6 +71,11 @@
     rm -rf "$work"
 }
 
+sizes=${1:-all}
+if [ "$sizes" != all ]; then
+    measure_size "$@"
+    exit
+fi
 measure_size demo 6 3 west east
 measure_size association 6 1 west east
 measure_size association 12 1 west east
--- a/src/libs/gateway/controlduty.cpp
+++ b/src/libs/gateway/controlduty.cpp
@@ -152,10 +152,13 @@
 void ControlDuty::tick()
 {
     tickGranters(this->state);
-    sendHeartbeats(this->state);
-    pollUpstreams(this->state);
-    proposeDue(this->state);
     const Utils::Instant now = Utils::monotonicNow();
+    if (now >= this->nextReview) {
+        this->nextReview = now + reviewEvery;
+        sendHeartbeats(this->state);
+        pollUpstreams(this->state);
+        proposeDue(this->state);
+    }
     if (now >= this->leaveBy) {
         this->leaveBy = Utils::Instant::max();
         stopGranters(this->state);
--- a/src/libs/gateway/controlduty.h
+++ b/src/libs/gateway/controlduty.h
@@ -40,6 +40,7 @@
     Mailbox<ControlEvent> mailbox;
     boost::asio::steady_timer timer;
     Utils::Instant nextStatus {};
+    Utils::Instant nextReview {};
     Utils::Instant leaveBy = Utils::Instant::max();
     std::thread thread;
 };
--- a/src/libs/gateway/datagrams.cpp
+++ b/src/libs/gateway/datagrams.cpp
@@ -2,6 +2,7 @@
 
 #include <gateway/gatewayconstants.h>
 #include <gateway/granters.h>
+#include <gateway/watching.h>
 #include <membership/health.h>
 #include <wire/controlcodec.h>
 #include <wire/wireconstants.h>
@@ -20,7 +21,7 @@
 namespace leaf = boost::leaf;
 using asio::ip::udp;
 
-constexpr std::size_t maxSampledVms = 16;
+constexpr std::size_t maxSampledVms = 8;
 
 void handleBody(ControlState& state, const Agreement::VmStart& from, const Wire::Heartbeat& beat)
 {
@@ -60,20 +61,6 @@
         std::visit([&](const auto& body) { handleBody(state, message->from, body); }, message->body);
 }
 
-/// The VMs that this one shares a pool with.
-std::set<Utils::VmId> partnersOf(const ControlState& state)
-{
-    std::set<Utils::VmId> partners;
-    for (const std::pair<const Utils::PoolId, Agreement::PoolAssignment>& entry :
-        state.reader.state.agreed.assignments) {
-        const bool dispatches = entry.second.dispatcher == state.self;
-        if (dispatches || entry.second.successor == state.self)
-            partners.insert(dispatches ? entry.second.successor.vm : entry.second.dispatcher.vm);
-    }
-    partners.erase(Utils::VmId {});
-    return partners;
-}
-
 } // namespace Internal
 
 void sendDatagram(ControlState& state, const Utils::VmId& vm, const Wire::ControlMessage& message)
@@ -109,11 +96,8 @@
     if (now < state.nextHeartbeat)
         return;
     state.nextHeartbeat = now + heartbeatEvery;
-    std::set<Utils::VmId> names;
-    for (const std::pair<const Utils::VmId, Platform::VmEntry>& entry : state.vms)
-        names.insert(entry.first);
     const std::set<Utils::VmId> targets = Membership::heartbeatTargets(
-        names, Internal::partnersOf(state), state.self.vm, Internal::maxSampledVms);
+        listedVms(state), partnersOf(state), state.self.vm, Internal::maxSampledVms);
     for (const Utils::VmId& vm : targets)
         sendDatagram(state, vm,
             { state.self,
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -51,7 +51,9 @@
 /// Time between two looks of the control duty at its timers.
 inline constexpr Utils::Duration controlTickEvery = std::chrono::milliseconds(10);
 /// Time between two heartbeats to one VM.
-inline constexpr Utils::Duration heartbeatEvery = std::chrono::milliseconds(250);
+inline constexpr Utils::Duration heartbeatEvery = std::chrono::milliseconds(500);
+/// Time between two reviews of what has to be proposed.
+inline constexpr Utils::Duration reviewEvery = std::chrono::milliseconds(50);
 /// Time between two looks at an upstream's state by whoever proposes for its pool.
 inline constexpr Utils::Duration upstreamPollEvery = std::chrono::milliseconds(250);
 /// Time between two proposals for one pool.
--- a/src/libs/gateway/proposals.cpp
+++ b/src/libs/gateway/proposals.cpp
@@ -4,6 +4,7 @@
 #include <agreement/recordcodec.h>
 #include <gateway/gatewayconstants.h>
 #include <gateway/holdercalls.h>
+#include <gateway/watching.h>
 #include <logging/log.h>
 #include <membership/health.h>
 #include <membership/proposal.h>
@@ -24,7 +25,7 @@
 using Membership::VmCandidate;
 
 /// Silence after which a VM no longer counts as alive for proposals.
-constexpr Utils::Duration vmSilence = std::chrono::milliseconds(1000);
+constexpr Utils::Duration vmSilence = std::chrono::milliseconds(1600);
 /// Silence after which an upstream gets no shards in proposals.
 constexpr Utils::Duration upstreamSilence = std::chrono::milliseconds(1000);
 
@@ -82,8 +83,8 @@
 ProposalInput inputFor(
     const ControlState& state, const Utils::PoolId& pool, const std::map<Utils::VmId, VmCandidate>& alive)
 {
-    ProposalInput input { state.reader.state, pool, state.self.vm, alive, answeringUpstreams(state, pool),
-        {} };
+    ProposalInput input { state.reader.state, pool, state.self.vm, alive, proposersOf(state, pool),
+        answeringUpstreams(state, pool), {} };
     const auto granter = state.granters.find(pool);
     if (granter != state.granters.end() && granter->second.role == Ownership::GranterRole::Granting)
         input.served = granter->second.served;
--- a/src/libs/gateway/statusreport.cpp
+++ b/src/libs/gateway/statusreport.cpp
@@ -34,7 +34,7 @@
 
 json::object vmStatus(const ControlState& state, const Platform::VmEntry& entry)
 {
-    constexpr Utils::Duration silence = std::chrono::seconds(1);
+    constexpr Utils::Duration silence = std::chrono::milliseconds(1600);
     json::object object;
     const auto health = state.health.find(entry.vm);
     const bool self = entry.vm == state.self.vm;
--- a/src/libs/membership/health.cpp
+++ b/src/libs/membership/health.cpp
@@ -41,4 +41,17 @@
     return targets;
 }
 
+std::vector<Utils::VmId> watchersOf(const std::set<Utils::VmId>& vms, const Utils::PoolId& pool,
+    const Utils::VmId& dispatcher, const Utils::VmId& successor)
+{
+    constexpr std::size_t watchers = 3;
+    std::set<Utils::VmId> others = vms;
+    others.erase(dispatcher);
+    others.erase(successor);
+    std::vector<Utils::VmId> order = rendezvousOrder(others, pool.value);
+    if (order.size() > watchers)
+        order.resize(watchers);
+    return order;
+}
+
 } // namespace Membership
--- a/src/libs/membership/health.h
+++ b/src/libs/membership/health.h
@@ -25,4 +25,9 @@
 std::set<Utils::VmId> heartbeatTargets(const std::set<Utils::VmId>& vms,
     const std::set<Utils::VmId>& partners, const Utils::VmId& self, std::size_t limit);
 
+/// The VMs besides dispatcher and successor that watch a pool, and propose for it when both are lost: the
+/// first few in rendezvous order of all that are listed, alive or not, so that every VM names the same ones.
+std::vector<Utils::VmId> watchersOf(const std::set<Utils::VmId>& vms, const Utils::PoolId& pool,
+    const Utils::VmId& dispatcher, const Utils::VmId& successor);
+
 } // namespace Membership
--- a/src/libs/membership/proposal.cpp
+++ b/src/libs/membership/proposal.cpp
@@ -27,11 +27,23 @@
     return found == input.log.configuration->pools.end() ? nullptr : &found->second;
 }
 
-std::vector<Placement::VmCandidate> candidates(const ProposalInput& input, bool withLeaving)
+/// VMs that may be given duties.
+std::vector<Placement::VmCandidate> dispatchCandidates(const ProposalInput& input)
 {
     std::vector<Placement::VmCandidate> result;
     for (const std::pair<const Utils::VmId, VmCandidate>& entry : input.vms) {
-        if (withLeaving || !entry.second.leaving)
+        if (!entry.second.leaving)
+            result.push_back(entry.second.place);
+    }
+    return result;
+}
+
+/// VMs that may propose.
+std::vector<Placement::VmCandidate> proposingCandidates(const ProposalInput& input)
+{
+    std::vector<Placement::VmCandidate> result;
+    for (const std::pair<const Utils::VmId, VmCandidate>& entry : input.vms) {
+        if (input.proposers.contains(entry.first))
             result.push_back(entry.second.place);
     }
     return result;
@@ -41,7 +53,7 @@
 std::optional<DispatchPair> choosePair(const ProposalInput& input)
 {
     Placement::DispatchInput wanted;
-    wanted.vms = candidates(input, false);
+    wanted.vms = dispatchCandidates(input);
     for (const std::pair<const Utils::PoolId, Declarations::UpstreamPool>& entry :
         input.log.configuration->pools)
         wanted.pools[entry.first] = entry.second.region;
@@ -139,7 +151,7 @@
     if (current != nullptr)
         present = { current->dispatcher, current->successor };
     const std::vector<Agreement::VmStart> order
-        = Placement::proposerOrder(input.pool, present, Internal::candidates(input, true));
+        = Placement::proposerOrder(input.pool, present, Internal::proposingCandidates(input));
     return !order.empty() && order.front().vm == input.self;
 }
 
--- a/src/libs/membership/proposalinput.h
+++ b/src/libs/membership/proposalinput.h
@@ -5,6 +5,7 @@
 #include <utils/ids.h>
 
 #include <map>
+#include <set>
 
 namespace Membership {
 
@@ -16,6 +17,8 @@
     Utils::VmId self;
     /// VMs that are alive, this one among them.
     std::map<Utils::VmId, VmCandidate> vms;
+    /// The VMs that may propose for the pool: its pair and its watchers.
+    std::set<Utils::VmId> proposers;
     /// The start of each upstream that answers.
     std::map<Utils::UpstreamId, Utils::Incarnation> upstreams;
     /// Where shards are served now, as far as this VM knows; it comes before the agreed owner.
--- a/tests/auto/membership/tst_health.cpp
+++ b/tests/auto/membership/tst_health.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <string>
 
 namespace {
@@ -47,3 +48,13 @@
     REQUIRE(targets.contains({ "vm-0" }));
     REQUIRE_FALSE(targets.contains({ "vm-1" }));
 }
+
+TEST_CASE("a pool has few watchers, and every VM names the same", "[health]")
+{
+    const unsigned count = GENERATE(2, 3, 12, 2500);
+    const std::vector<Utils::VmId> watchers
+        = Membership::watchersOf(vmsNumbered(count), { "pool" }, { "vm-0" }, { "vm-1" });
+    REQUIRE(watchers.size() == std::min(count - 2, 3U));
+    for (const Utils::VmId& watcher : watchers)
+        REQUIRE((watcher.value != "vm-0" && watcher.value != "vm-1"));
+}
