--- a/src/libs/gateway/controlstate.h
+++ b/src/libs/gateway/controlstate.h
@@ -5,7 +5,7 @@
 #include <gateway/controloutputs.h>
 #include <gateway/daemonsettings.h>
 #include <gateway/gatewaymetrics.h>
-#include <gateway/upstreamconnection.h>
+#include <gateway/upstreamconnections.h>
 #include <gateway/upstreamhealth.h>
 #include <membership/vmhealth.h>
 #include <ownership/granterstate.h>
@@ -50,7 +50,7 @@
     std::map<Utils::VmId, Platform::VmEntry> vms;
     std::map<Utils::VmId, Membership::VmHealth> health;
     std::map<Utils::UpstreamId, UpstreamHealth> upstreams;
-    std::map<Utils::UpstreamId, std::vector<std::unique_ptr<UpstreamConnection>>> idle;
+    std::map<Utils::UpstreamId, IdleConnections> idle;
     std::map<Utils::PoolId, Utils::Instant> lastProposal;
     /// Pools whose serving has changed since it was last sent to the dispatch duty.
     std::map<Utils::PoolId, bool> servingDirty;
--- a/src/libs/gateway/datagrams.cpp
+++ b/src/libs/gateway/datagrams.cpp
@@ -79,7 +79,8 @@
 
 boost::asio::awaitable<void> receiveDatagrams(ControlState& state)
 {
-    std::array<char, Wire::maxDatagramBytes + 1> buffer {};
+    // FlatBuffers reads its numbers in place.
+    alignas(std::uint64_t) std::array<char, Wire::maxDatagramBytes + 1> buffer {};
     while (state.socket.is_open()) {
         boost::system::error_code error;
         boost::asio::ip::udp::endpoint sender;
--- a/src/libs/gateway/holdercalls.cpp
+++ b/src/libs/gateway/holdercalls.cpp
@@ -4,6 +4,7 @@
 #include <gateway/granters.h>
 #include <gateway/holdercodec.h>
 #include <gateway/poolpolicy.h>
+#include <gateway/upstreamconnections.h>
 #include <logging/log.h>
 
 #include <boost/asio/redirect_error.hpp>
@@ -27,25 +28,12 @@
 asio::awaitable<std::unique_ptr<UpstreamConnection>> connectionTo(
     ControlState& state, const Declarations::Upstream& upstream)
 {
-    std::vector<std::unique_ptr<UpstreamConnection>>& idle = state.idle[upstream.id];
-    if (!idle.empty()) {
-        std::unique_ptr<UpstreamConnection> connection = std::move(idle.back());
-        idle.pop_back();
-        if (Utils::monotonicNow() - connection->lastUsed <= idleReuse)
-            co_return connection;
-        idle.clear();
-    }
-    std::unique_ptr<UpstreamConnection> connection
-        = std::make_unique<UpstreamConnection>(state.context.get_executor());
-    boost::system::error_code error;
-    connection->stream.expires_after(controlTimeout);
-    co_await connection->stream.async_connect(
-        asio::ip::tcp::endpoint(asio::ip::make_address(upstream.address), upstream.port),
-        asio::redirect_error(asio::use_awaitable, error));
-    if (error)
-        co_return nullptr;
-    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
-    co_return connection;
+    std::unique_ptr<UpstreamConnection> idle = takeIdle(state.idle[upstream.id], idleReuse);
+    if (idle != nullptr)
+        co_return idle;
+    const Settings::Endpoint place { upstream.address, upstream.port };
+    std::unique_ptr<UpstreamConnection> opened = co_await openUpstream(state.context, place);
+    co_return opened;
 }
 
 std::optional<Ownership::HolderAnswer> decode(ControlState& state, const std::string& body)
@@ -97,7 +85,7 @@
     if (error)
         co_return std::nullopt;
     const std::optional<Ownership::HolderAnswer> answer = decode(state, parser.get().body());
-    std::vector<std::unique_ptr<UpstreamConnection>>& idle = state.idle[id];
+    IdleConnections& idle = state.idle[id];
     connection->lastUsed = Utils::monotonicNow();
     if (parser.keep_alive() && idle.size() < maxIdleConnections)
         idle.push_back(std::move(connection));
--- a/src/libs/gateway/networkstate.h
+++ b/src/libs/gateway/networkstate.h
@@ -8,7 +8,7 @@
 #include <gateway/pendingattempt.h>
 #include <gateway/routingtable.h>
 #include <gateway/storedanswer.h>
-#include <gateway/upstreamconnection.h>
+#include <gateway/upstreamconnections.h>
 #include <requests/linkbudget.h>
 #include <requests/retrystate.h>
 
@@ -61,7 +61,7 @@
     std::map<Requests::WorkId, StoredAnswer> stored;
     /// Answers that it has not decided on yet.
     std::map<Requests::WorkId, StoredAnswer> undecided;
-    std::map<Utils::UpstreamId, std::vector<std::unique_ptr<UpstreamConnection>>> idle;
+    std::map<Utils::UpstreamId, IdleConnections> idle;
 
     /// Bytes of request bodies held, as entry and as dispatcher.
     std::uint64_t bodyBytes = 0;
--- a/src/libs/gateway/upstreamexchange.cpp
+++ b/src/libs/gateway/upstreamexchange.cpp
@@ -6,6 +6,7 @@
 #include <gateway/poolpolicy.h>
 #include <gateway/requesthead.h>
 #include <gateway/upstreamanswer.h>
+#include <gateway/upstreamconnections.h>
 #include <wire/wireconstants.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -54,36 +55,12 @@
     return result;
 }
 
-std::unique_ptr<UpstreamConnection> takeIdle(
-    NetworkState& state, const Utils::UpstreamId& upstream, bool idempotent)
-{
-    const auto found = state.idle.find(upstream);
-    if (found == state.idle.end() || found->second.empty())
-        return nullptr;
-    std::unique_ptr<UpstreamConnection> newest = std::move(found->second.back());
-    found->second.pop_back();
-    const Utils::Duration limit = idempotent ? idleReuse : provenReuse;
-    if (Utils::monotonicNow() - newest->lastUsed <= limit)
-        return newest;
-    // All others were used even longer ago.
-    found->second.clear();
-    return nullptr;
-}
-
 asio::awaitable<std::unique_ptr<UpstreamConnection>> openConnection(
     NetworkState& state, const Settings::Endpoint& place)
 {
-    std::unique_ptr<UpstreamConnection> connection
-        = std::make_unique<UpstreamConnection>(state.context.get_executor());
-    boost::system::error_code error;
-    connection->stream.expires_after(connectTimeout);
-    co_await connection->stream.async_connect(
-        tcp::endpoint(asio::ip::make_address(place.address), place.port),
-        asio::redirect_error(asio::use_awaitable, error));
-    if (error)
-        co_return nullptr;
-    connection->stream.socket().set_option(tcp::no_delay(true), error);
-    state.metrics.counters.add(Counter::UpstreamConnectionsOpened);
+    std::unique_ptr<UpstreamConnection> connection = co_await openUpstream(state.context, place);
+    if (connection != nullptr)
+        state.metrics.counters.add(Counter::UpstreamConnectionsOpened);
     co_return connection;
 }
 
@@ -329,7 +306,8 @@
 boost::asio::awaitable<void> runExchange(NetworkState& state, std::shared_ptr<HeldWork> work, RunWork run)
 {
     Internal::Exchange exchange { state, *work, run, nullptr, {}, {}, {}, {}, 0, {} };
-    exchange.connection = Internal::takeIdle(state, run.upstream, work->message.idempotent);
+    const Utils::Duration reuse = work->message.idempotent ? idleReuse : provenReuse;
+    exchange.connection = takeIdle(state.idle[run.upstream], reuse);
     if (exchange.connection == nullptr)
         exchange.connection = co_await Internal::openConnection(state, run.endpoint);
     Dispatch::WorkResult result
