--- a/scripts/replaytrace.sh
+++ b/scripts/replaytrace.sh
@@ -3,7 +3,7 @@
 # usage: scripts/replaytrace.sh TRACE.jsonl [SEED]; the last line is JSON; ends with 1 when the outcome differs.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-trace=$1
+trace=${1:?usage: scripts/replaytrace.sh TRACE.jsonl [SEED]}
 seed=${2:-1}
 bin=build/bin
 declarations=share/demo
