--- a/cmake/crocusferryapi.cmake
+++ b/cmake/crocusferryapi.cmake
@@ -18,8 +18,11 @@
 
 find_package(Threads REQUIRED)
 find_package(Boost 1.81 REQUIRED COMPONENTS json container url)
-find_package(Catch2 2 REQUIRED)
-find_package(rapidcheck REQUIRED)
+option(CROCUS_BUILD_TESTS "Build tests, stand-ins and measuring tools" ON)
+if(CROCUS_BUILD_TESTS)
+  find_package(Catch2 2 REQUIRED)
+  find_package(rapidcheck REQUIRED)
+endif()
 
 add_library(crocus_options INTERFACE)
 # GCC 12 takes the inactive alternatives of a std::variant for uninitialised reads.
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -5,7 +5,7 @@
     g++ cmake ninja-build ccache clang-format clang-tidy python3 curl
     libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev libflatbuffers-dev
     libtclap-dev libeasyloggingpp-dev libtrompeloeil-cpp-dev catch2
-    librapidcheck-dev libxxhash-dev
+    librapidcheck-dev libxxhash-dev libtomlplusplus-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- /dev/null
+++ b/src/app/crocusferryedge/main.cpp
@@ -0,0 +1,103 @@
+#include <edge/service.h>
+#include <logging/log.h>
+#include <platform/decodeerror.h>
+#include <platform/fieldname.h>
+#include <platform/settingsfile.h>
+
+#include <boost/leaf.hpp>
+#include <boost/system/system_error.hpp>
+#include <tclap/CmdLine.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr int exitBadSettings = 2;
+constexpr int exitCannotListen = 3;
+
+/// A number that no other start of this VM has, short of chance.
+Utils::Incarnation freshIncarnation()
+{
+    std::random_device device;
+    std::uniform_int_distribution<std::uint64_t> range(1, INT64_MAX);
+    return range(device);
+}
+
+std::string readFile(const std::string& path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::optional<Routing::VmSettings> readSettings(const std::string& path)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<Routing::VmSettings>> {
+            BOOST_LEAF_AUTO(settings, Platform::decodeSettings(readFile(path)));
+            return std::optional<Routing::VmSettings>(settings);
+        },
+        [&](Platform::DecodeError error, const Platform::FieldName& field) {
+            Logging::write(Logging::Level::Error, "settings_unusable",
+                { { "path", path }, { "field", field.name },
+                    { "error", Utils::enumName(Platform::decodeErrorNames, error) } });
+            return std::optional<Routing::VmSettings>();
+        },
+        [&]() {
+            Logging::write(Logging::Level::Error, "settings_unusable", { { "path", path } });
+            return std::optional<Routing::VmSettings>();
+        });
+}
+
+int serve(const std::string& path, const Routing::VmSettings& settings)
+{
+    boost::asio::io_context context(1);
+    Edge::Service service(context, settings, freshIncarnation());
+    service.reload = [&path] { return readSettings(path); };
+    Logging::write(Logging::Level::Info, "started",
+        { { "vm", settings.name.value }, { "version", CROCUS_VERSION }, { "zone", settings.zone.value },
+            { "incarnation", service.node.incarnation } });
+    try {
+        Edge::startService(service);
+    } catch (const boost::system::system_error& error) {
+        Logging::write(Logging::Level::Error, "cannot_listen", { { "error", error.code().message() } });
+        return exitCannotListen;
+    }
+    context.run();
+    return EXIT_SUCCESS;
+}
+
+std::string settingsPath(int argc, char** argv)
+{
+    TCLAP::CmdLine command(
+        "Routes requests to upstream servers that own keys exclusively, on the users' platform.", ' ',
+        CROCUS_VERSION);
+    TCLAP::ValueArg<std::string> path("", "settings",
+        std::string("Settings file; else the variable ") + Platform::settingsPathVariable + " names it",
+        false, "", "path", command);
+    command.parse(argc, argv);
+    if (path.isSet())
+        return path.getValue();
+    const char* const named = std::getenv(Platform::settingsPathVariable);
+    return named ? named : "";
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const std::string path = settingsPath(argc, argv);
+    Logging::configure(Logging::Level::Info, "crocusferryedge");
+    const std::optional<Routing::VmSettings> settings = readSettings(path);
+    if (!settings)
+        return exitBadSettings;
+    Logging::configure(Logging::Level::Info, settings->name.value);
+    return serve(path, *settings);
+}
--- /dev/null
+++ b/src/libs/balancing/admissionverdict.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <utils/time.h>
+
+namespace Balancing {
+
+/// Whether a request is admitted, and if not, when its caller may come back.
+struct AdmissionVerdict {
+    bool admitted = true;
+    Utils::Duration retryAfter {};
+};
+
+} // namespace Balancing
--- /dev/null
+++ b/src/libs/balancing/loadmodel.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <balancing/servicestats.h>
+#include <balancing/upstreamload.h>
+#include <utils/time.h>
+
+#include <optional>
+
+/// How answers and failures change what is believed of an upstream.
+namespace Balancing {
+
+/// A told load counts half after this long: requests last about as long, so most of what was told has ended.
+inline constexpr Utils::Duration toldHalfLife = std::chrono::milliseconds(400);
+/// Weight of a new sample in the moving means.
+inline constexpr double sampleWeight = 0.2;
+/// An upstream with this many failures in a row is avoided.
+inline constexpr unsigned failuresToAvoid = 2;
+/// First avoidance; doubles with each further failure.
+inline constexpr Utils::Duration shortestAvoidance = std::chrono::milliseconds(400);
+inline constexpr Utils::Duration longestAvoidance = std::chrono::milliseconds(3200);
+
+/// A request was sent.
+void noteSent(UpstreamLoad& load, Utils::Instant now);
+
+/// An answer came after \a latency; \a told is the load that came with it.
+void noteAnswer(UpstreamLoad& load, ServiceStats& stats, Utils::Duration latency,
+    const std::optional<Routing::ToldLoad>& told, bool good, Utils::Instant now);
+
+/// The upstream refused the request without running it.
+void noteRefusal(UpstreamLoad& load, ServiceStats& stats, const std::optional<Routing::ToldLoad>& told,
+    Utils::Instant now);
+
+/// The connection broke or the time for an answer was up.
+void noteFailure(UpstreamLoad& load, Utils::Instant now);
+
+/// The request was given up by this VM's side; says nothing of the upstream.
+void noteAbandoned(UpstreamLoad& load);
+
+/// Requests running and waiting at the upstream, as far as can be known at \a now.
+double estimatedLoad(const UpstreamLoad& load, const ServiceStats& stats, Utils::Instant now);
+
+/// Time from sending to the answer for one more request, without the network.
+Utils::Duration expectedLatency(
+    const UpstreamLoad& load, const ServiceStats& stats, unsigned slots, double slowness, Utils::Instant now);
+
+} // namespace Balancing
--- /dev/null
+++ b/src/libs/balancing/retrybudget.cpp
@@ -0,0 +1,45 @@
+#include <balancing/retrybudget.h>
+
+namespace Balancing {
+
+namespace Internal {
+
+std::int64_t sliceNumber(const RetryAllowance& allowance, Utils::Instant now)
+{
+    const Utils::Duration length = allowance.window / RetryBudget::sliceCount;
+    return now.time_since_epoch() / length;
+}
+
+RetryBudget::Slice& sliceAt(RetryBudget& budget, std::int64_t number)
+{
+    RetryBudget::Slice& slice = budget.slices[static_cast<std::size_t>(number) % RetryBudget::sliceCount];
+    if (slice.number != number)
+        slice = { number, 0, 0 };
+    return slice;
+}
+
+} // namespace Internal
+
+void noteRequest(RetryBudget& budget, const RetryAllowance& allowance, Utils::Instant now)
+{
+    ++Internal::sliceAt(budget, Internal::sliceNumber(allowance, now)).requests;
+}
+
+bool spendRepeat(RetryBudget& budget, const RetryAllowance& allowance, Utils::Instant now)
+{
+    const std::int64_t current = Internal::sliceNumber(allowance, now);
+    double requests = 0;
+    double repeats = 0;
+    for (const RetryBudget::Slice& slice : budget.slices) {
+        if (slice.number < 0 || current - slice.number >= static_cast<std::int64_t>(RetryBudget::sliceCount))
+            continue;
+        requests += slice.requests;
+        repeats += slice.repeats;
+    }
+    if (repeats + 1 > allowance.ratio * requests + allowance.slack)
+        return false;
+    ++Internal::sliceAt(budget, current).repeats;
+    return true;
+}
+
+} // namespace Balancing
--- a/src/libs/commands/logarguments.cpp
+++ b/src/libs/commands/logarguments.cpp
@@ -45,15 +45,15 @@
 {
 }
 
-std::optional<Platform::Endpoint> readEndpoint(
+std::optional<LogService::Endpoint> readEndpoint(
     const std::string& option, const std::string& text, Console& console)
 {
     return leaf::try_handle_all(
-        [&]() -> leaf::result<std::optional<Platform::Endpoint>> {
+        [&]() -> leaf::result<std::optional<LogService::Endpoint>> {
             BOOST_LEAF_AUTO(endpoint, Settings::endpointValue(option, text));
-            return std::optional<Platform::Endpoint>({ endpoint.address, endpoint.port });
+            return std::optional<LogService::Endpoint>({ endpoint.address, endpoint.port });
         },
-        [&]() -> std::optional<Platform::Endpoint> {
+        [&]() -> std::optional<LogService::Endpoint> {
             console.error << "--" << option << ": \"" << text << "\" is no IP:PORT\n";
             return std::nullopt;
         });
@@ -61,7 +61,8 @@
 
 std::optional<LogView> openLog(const LogArguments& arguments, Console& console)
 {
-    const std::optional<Platform::Endpoint> service = readEndpoint("log", arguments.log.getValue(), console);
+    const std::optional<LogService::Endpoint> service
+        = readEndpoint("log", arguments.log.getValue(), console);
     if (!service.has_value() || !isStreamName(arguments.stream.getValue(), console))
         return std::nullopt;
     return LogView { { *service, arguments.stream.getValue() } };
@@ -80,9 +81,9 @@
             BOOST_LEAF_CHECK(readToEnd(view, deadlineOf(arguments)));
             return std::optional<ExitCode>();
         },
-        [&](Platform::PlatformError error) {
+        [&](LogService::PlatformError error) {
             console.error << "log " << arguments.log.getValue() << ": "
-                          << Utils::enumName(Platform::platformErrorNames, error) << '\n';
+                          << Utils::enumName(LogService::platformErrorNames, error) << '\n';
             return std::optional<ExitCode>(ExitCode::LogUnreachable);
         },
         [] { return std::optional<ExitCode>(ExitCode::LogUnreachable); });
--- a/src/libs/commands/logarguments.h
+++ b/src/libs/commands/logarguments.h
@@ -37,7 +37,7 @@
 std::string environmentOr(const std::string& name, const std::string& fallback);
 
 /// The IP number and port in \a text; nothing, and a complaint about \a option, when it is none.
-std::optional<Platform::Endpoint> readEndpoint(
+std::optional<LogService::Endpoint> readEndpoint(
     const std::string& option, const std::string& text, Console& console);
 
 } // namespace Commands::Internal
--- a/src/libs/commands/logview.cpp
+++ b/src/libs/commands/logview.cpp
@@ -2,7 +2,7 @@
 
 #include <agreement/follow.h>
 #include <declarations/configurationreader.h>
-#include <platform/logclient.h>
+#include <logservice/logclient.h>
 
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -18,8 +18,8 @@
 
 namespace {
 
-using Platform::KeptRange;
-using Platform::PlatformError;
+using LogService::KeptRange;
+using LogService::PlatformError;
 
 std::optional<Declarations::Configuration> parseText(std::string_view text)
 {
@@ -28,8 +28,8 @@
 
 leaf::result<LogStep> readAndFold(LogView& view, Utils::Duration wait)
 {
-    BOOST_LEAF_AUTO(
-        answer, Platform::readRecords(view.endpoint, view.reader.next, view.limit, wait, wait + callTimeout));
+    BOOST_LEAF_AUTO(answer,
+        LogService::readRecords(view.endpoint, view.reader.next, view.limit, wait, wait + callTimeout));
     view.end = std::max(view.end, answer.kept.end);
     LogStep step;
     step.judged = Agreement::foldRecords(view.reader, answer.kept.first, answer.records, parseText);
--- a/src/libs/commands/logview.h
+++ b/src/libs/commands/logview.h
@@ -4,8 +4,8 @@
 #include <agreement/logreader.h>
 #include <agreement/logrecord.h>
 #include <commands/commandsconstants.h>
-#include <platform/logendpoint.h>
-#include <platform/platformerror.h>
+#include <logservice/logendpoint.h>
+#include <logservice/platformerror.h>
 #include <utils/time.h>
 
 #include <boost/leaf/result.hpp>
@@ -16,7 +16,7 @@
 
 /// The log as one command follows it.
 struct LogView {
-    Platform::LogEndpoint endpoint;
+    LogService::LogEndpoint endpoint;
     Agreement::LogReader reader {};
     /// Offset after the newest record that the log has shown.
     Utils::Offset end = 0;
--- a/src/libs/commands/publishing.cpp
+++ b/src/libs/commands/publishing.cpp
@@ -1,7 +1,7 @@
 #include <commands/publishing.h>
 
 #include <agreement/recordcodec.h>
-#include <platform/logclient.h>
+#include <logservice/logclient.h>
 
 #include <boost/leaf/handle_errors.hpp>
 
@@ -19,7 +19,7 @@
 using Agreement::ConfigurationRecord;
 using Agreement::RecordHeader;
 using Agreement::Verdict;
-using Platform::PlatformError;
+using LogService::PlatformError;
 
 /// What one append did.
 enum class AppendEffect {
@@ -40,7 +40,7 @@
 {
     return leaf::try_handle_all(
         [&]() -> leaf::result<AppendEffect> {
-            BOOST_LEAF_CHECK(Platform::appendRecord(view.endpoint, text, callTimeout));
+            BOOST_LEAF_CHECK(LogService::appendRecord(view.endpoint, text, callTimeout));
             return AppendEffect::Done;
         },
         [](PlatformError error) { return effectOf(error); }, [] { return AppendEffect::Perhaps; });
--- a/src/libs/commands/standingreport.cpp
+++ b/src/libs/commands/standingreport.cpp
@@ -33,7 +33,7 @@
 void writeStanding(std::ostream& stream, const VmStanding& standing, Utils::Offset end, Utils::Offset inForce)
 {
     stream << standing.entry.vm.value << " (" << standing.entry.zone.value << ", "
-           << Utils::enumName(Platform::vmStateNames, standing.entry.state) << "): ";
+           << Utils::enumName(LogService::vmStateNames, standing.entry.state) << "): ";
     if (!standing.answered) {
         stream << "no answer: " << standing.failure << '\n';
         return;
@@ -55,7 +55,7 @@
         boost::json::object object;
         object["vm"] = standing.entry.vm.value;
         object["zone"] = standing.entry.zone.value;
-        object["state"] = Utils::enumName(Platform::vmStateNames, standing.entry.state);
+        object["state"] = Utils::enumName(LogService::vmStateNames, standing.entry.state);
         object["answered"] = standing.answered;
         object["failure"] = standing.failure;
         object["lagging"] = isLagging(standing, inForce);
--- a/src/libs/commands/statuscommand.cpp
+++ b/src/libs/commands/statuscommand.cpp
@@ -60,7 +60,8 @@
     if (end.has_value())
         return *end;
     std::optional<LogView> view = Internal::openLog(log, console);
-    const std::optional<Platform::Endpoint> list = Internal::readEndpoint("vms", vms.vms.getValue(), console);
+    const std::optional<LogService::Endpoint> list
+        = Internal::readEndpoint("vms", vms.vms.getValue(), console);
     if (!view.has_value() || !list.has_value())
         return ExitCode::Usage;
     const std::optional<ExitCode> failure = Internal::followLog(*view, log, console);
--- a/src/libs/commands/vmarguments.cpp
+++ b/src/libs/commands/vmarguments.cpp
@@ -3,7 +3,7 @@
 #include <commands/commandsconstants.h>
 #include <commands/logarguments.h>
 #include <commands/vmstandings.h>
-#include <platform/vmlistclient.h>
+#include <logservice/vmlistclient.h>
 
 #include <boost/leaf/handle_errors.hpp>
 
@@ -26,15 +26,15 @@
 }
 
 std::optional<std::vector<VmStanding>> askListedVms(
-    const VmArguments& arguments, const Platform::Endpoint& list, Console& console)
+    const VmArguments& arguments, const LogService::Endpoint& list, Console& console)
 {
     return leaf::try_handle_all(
         [&]() -> leaf::result<std::optional<std::vector<VmStanding>>> {
-            BOOST_LEAF_AUTO(entries, Platform::listVms(list, callTimeout));
+            BOOST_LEAF_AUTO(entries, LogService::listVms(list, callTimeout));
             return std::optional<std::vector<VmStanding>>(askVms(entries, arguments.adminPort.getValue()));
         },
-        [&](Platform::PlatformError error) -> std::optional<std::vector<VmStanding>> {
-            console.error << "VM list: " << Utils::enumName(Platform::platformErrorNames, error) << '\n';
+        [&](LogService::PlatformError error) -> std::optional<std::vector<VmStanding>> {
+            console.error << "VM list: " << Utils::enumName(LogService::platformErrorNames, error) << '\n';
             return std::nullopt;
         },
         []() -> std::optional<std::vector<VmStanding>> { return std::nullopt; });
--- a/src/libs/commands/vmarguments.h
+++ b/src/libs/commands/vmarguments.h
@@ -2,7 +2,7 @@
 
 #include <commands/console.h>
 #include <commands/vmstanding.h>
-#include <platform/endpoint.h>
+#include <logservice/endpoint.h>
 
 #include <tclap/CmdLine.h>
 #include <tclap/ValueArg.h>
@@ -23,6 +23,6 @@
 
 /// Reads the VM list and asks every VM on it; nothing, and a complaint, when the list can't be read.
 std::optional<std::vector<VmStanding>> askListedVms(
-    const VmArguments& arguments, const Platform::Endpoint& list, Console& console);
+    const VmArguments& arguments, const LogService::Endpoint& list, Console& console);
 
 } // namespace Commands::Internal
--- a/src/libs/commands/vmstanding.h
+++ b/src/libs/commands/vmstanding.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <platform/vmentry.h>
+#include <logservice/vmentry.h>
 #include <utils/ids.h>
 
 #include <cstdint>
@@ -20,7 +20,7 @@
 
 /// Where one VM stands, by its own word.
 struct VmStanding {
-    Platform::VmEntry entry;
+    LogService::VmEntry entry;
     /// Whether it answered; if not, the rest is empty.
     bool answered = false;
     /// Name of the error when it did not answer.
--- a/src/libs/commands/vmstandings.cpp
+++ b/src/libs/commands/vmstandings.cpp
@@ -1,7 +1,7 @@
 #include <commands/vmstandings.h>
 
 #include <commands/commandsconstants.h>
-#include <platform/adminclient.h>
+#include <logservice/adminclient.h>
 
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -19,7 +19,7 @@
 
 namespace {
 
-using Platform::PlatformError;
+using LogService::PlatformError;
 
 std::optional<std::uint64_t> numberIn(const boost::json::object& object, std::string_view field)
 {
@@ -61,19 +61,19 @@
     return duties;
 }
 
-VmStanding failedStanding(const Platform::VmEntry& entry, PlatformError error)
+VmStanding failedStanding(const LogService::VmEntry& entry, PlatformError error)
 {
     VmStanding standing;
     standing.entry = entry;
-    standing.failure = Utils::enumName(Platform::platformErrorNames, error);
+    standing.failure = Utils::enumName(LogService::platformErrorNames, error);
     return standing;
 }
 
-VmStanding askVm(const Platform::VmEntry& entry, std::uint16_t adminPort)
+VmStanding askVm(const LogService::VmEntry& entry, std::uint16_t adminPort)
 {
     return leaf::try_handle_all(
         [&]() -> leaf::result<VmStanding> {
-            BOOST_LEAF_AUTO(text, Platform::fetchStatus({ entry.address, adminPort }, callTimeout));
+            BOOST_LEAF_AUTO(text, LogService::fetchStatus({ entry.address, adminPort }, callTimeout));
             return readStanding(entry, text);
         },
         [&](PlatformError error) { return failedStanding(entry, error); },
@@ -82,7 +82,7 @@
 
 } // namespace
 
-VmStanding readStanding(const Platform::VmEntry& entry, std::string_view text)
+VmStanding readStanding(const LogService::VmEntry& entry, std::string_view text)
 {
     boost::json::error_code error;
     const boost::json::value document = boost::json::parse(text, error);
@@ -104,7 +104,7 @@
     return standing;
 }
 
-std::vector<VmStanding> askVms(const std::vector<Platform::VmEntry>& entries, std::uint16_t adminPort)
+std::vector<VmStanding> askVms(const std::vector<LogService::VmEntry>& entries, std::uint16_t adminPort)
 {
     std::vector<VmStanding> standings(entries.size());
     std::atomic<std::size_t> next = 0;
--- a/src/libs/commands/watchcommand.cpp
+++ b/src/libs/commands/watchcommand.cpp
@@ -53,17 +53,17 @@
 
 /// What a watch has told of the log's failures.
 struct WatchState {
-    std::optional<Platform::PlatformError> failure;
+    std::optional<LogService::PlatformError> failure;
 };
 
 /// Names a failure once, and its end.
-void noteFailure(Console& console, WatchState& state, std::optional<Platform::PlatformError> failure)
+void noteFailure(Console& console, WatchState& state, std::optional<LogService::PlatformError> failure)
 {
     if (failure == state.failure)
         return;
     state.failure = failure;
     console.error << "log: "
-                  << (failure.has_value() ? Utils::enumName(Platform::platformErrorNames, *failure)
+                  << (failure.has_value() ? Utils::enumName(LogService::platformErrorNames, *failure)
                                           : "answers again")
                   << std::endl;
 }
@@ -80,7 +80,7 @@
             writeNewConfiguration(console, format, before, view);
             return {};
         },
-        [&](Platform::PlatformError error) {
+        [&](LogService::PlatformError error) {
             noteFailure(console, state, error);
             std::this_thread::sleep_for(retryPause);
         },
--- /dev/null
+++ b/src/libs/edge/beliefupdates.cpp
@@ -0,0 +1,225 @@
+#include <edge/beliefupdates.h>
+#include <edge/clock.h>
+#include <edge/exchanges.h>
+#include <edge/leading.h>
+#include <edge/upstreams.h>
+#include <granting/recordcodec.h>
+#include <granting/recorderror.h>
+#include <logging/log.h>
+#include <platform/configurationdecoder.h>
+#include <platform/fieldname.h>
+#include <platform/upstreamdecoder.h>
+
+#include <boost/leaf.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace Edge {
+
+namespace leaf = boost::leaf;
+
+namespace Internal {
+
+void reportUndecodable(
+    Node& node, const Platform::StoreRecord& record, Platform::DecodeError error, const std::string& field)
+{
+    node.counters.decodeErrors.add(error);
+    Logging::write(Logging::Level::Warning, "record_skipped",
+        { { "key", record.key }, { "offset", record.offset },
+            { "error", Utils::enumName(Platform::decodeErrorNames, error) }, { "field", field } });
+}
+
+/// Decodes \a record's value; nothing, after a log line, where it can't be used.
+template <typename Value, typename Decode>
+std::optional<Value> decodedOrSkipped(Node& node, const Platform::StoreRecord& record, Decode decode)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<Value>> {
+            BOOST_LEAF_AUTO(value, decode());
+            return std::optional<Value>(std::move(value));
+        },
+        [&](Platform::DecodeError error, const Platform::FieldName& field) -> std::optional<Value> {
+            reportUndecodable(node, record, error, field.name);
+            return std::nullopt;
+        },
+        [&](Platform::DecodeError error) -> std::optional<Value> {
+            reportUndecodable(node, record, error, "");
+            return std::nullopt;
+        },
+        [&]() -> std::optional<Value> {
+            reportUndecodable(node, record, Platform::DecodeError::Unreadable, "");
+            return std::nullopt;
+        });
+}
+
+void adopt(Node& node, Routing::Configuration configuration, Utils::Offset offset)
+{
+    const std::uint64_t former = node.beliefs.table ? node.beliefs.table->configuration.version : 0;
+    if (node.beliefs.table && configuration.version <= former)
+        return;
+    Logging::write(Logging::Level::Info, "configuration_in_force",
+        { { "version", configuration.version }, { "former", former }, { "offset", offset },
+            { "routes", configuration.routes.size() } });
+    node.beliefs.table
+        = std::make_shared<const Routing::RouteTable>(Routing::makeRouteTable(std::move(configuration)));
+}
+
+void indexServices(Node& node)
+{
+    node.beliefs.upstreamsOf.clear();
+    const Routing::UpstreamDirectory& directory = node.beliefs.directory;
+    for (auto it = directory.entries.begin(); it != directory.entries.end(); ++it) {
+        if (!it->second.gone)
+            node.beliefs.upstreamsOf[it->second.record.service].push_back(it->first);
+    }
+}
+
+void logChange(
+    const Node& node, const Utils::UpstreamId& id, Routing::DirectoryChange change, Utils::Offset offset)
+{
+    const auto found = node.beliefs.directory.entries.find(id);
+    const bool known = found != node.beliefs.directory.entries.end();
+    Logging::write(Logging::Level::Info, "upstream_changed",
+        { { "upstream", id.value }, { "change", Utils::enumName(Routing::directoryChangeNames, change) },
+            { "offset", offset }, { "sequence", known ? found->second.record.sequence : 0 },
+            { "born_ms", known ? found->second.record.bornMs : 0 } });
+}
+
+/// An upstream at the address of another, started later, shows that the other has ended.
+void endFormerAt(Node& node, const Routing::UpstreamRecord& record)
+{
+    const Routing::UpstreamDirectory& directory = node.beliefs.directory;
+    for (auto it = directory.entries.begin(); it != directory.entries.end(); ++it) {
+        const Routing::UpstreamRecord& other = it->second.record;
+        if (other.id != record.id && other.endpoint == record.endpoint && other.bornMs < record.bornMs)
+            noteUpstreamEnded(node, other.id);
+    }
+}
+
+void applyChange(
+    Node& node, const Utils::UpstreamId& id, Routing::DirectoryChange change, Utils::Offset offset)
+{
+    if (change == Routing::DirectoryChange::None)
+        return;
+    logChange(node, id, change, offset);
+    if (change == Routing::DirectoryChange::Reborn) {
+        closeIdle(node, id);
+        node.traffic.links[id].load = {};
+        noteUpstreamEnded(node, id);
+    }
+    if (change == Routing::DirectoryChange::StartedDraining || change == Routing::DirectoryChange::Removed)
+        closeIdle(node, id);
+    if (change == Routing::DirectoryChange::Added || change == Routing::DirectoryChange::Reborn)
+        endFormerAt(node, node.beliefs.directory.entries.at(id).record);
+}
+
+void takeReport(Node& node, const Platform::StoreRecord& record)
+{
+    if (record.key.empty())
+        return;
+    const Utils::UpstreamId id { record.key };
+    if (!record.value) {
+        applyChange(
+            node, id, Routing::applyRemoval(node.beliefs.directory, id, record.offset, now()), record.offset);
+        return;
+    }
+    const std::optional<Routing::UpstreamRecord> report = decodedOrSkipped<Routing::UpstreamRecord>(
+        node, record, [&record] { return Platform::decodeUpstream(record.key, *record.value); });
+    if (report)
+        applyChange(node, id, Routing::applyReport(node.beliefs.directory, *report, record.offset, now()),
+            record.offset);
+}
+
+bool isNewer(const Granting::KeyAssignment& one, const Granting::KeyAssignment& other)
+{
+    return std::pair(one.term, one.version) > std::pair(other.term, other.version);
+}
+
+} // namespace Internal
+
+void takeConfigurations(Node& node, const std::vector<Platform::StoreRecord>& records)
+{
+    for (const Platform::StoreRecord& record : records) {
+        if (record.key != Platform::configurationKey || !record.value)
+            continue;
+        std::optional<Routing::Configuration> configuration
+            = Internal::decodedOrSkipped<Routing::Configuration>(
+                node, record, [&record] { return Platform::decodeConfiguration(*record.value); });
+        if (configuration)
+            Internal::adopt(node, std::move(*configuration), record.offset);
+    }
+}
+
+void takeReports(Node& node, const std::vector<Platform::StoreRecord>& records)
+{
+    for (const Platform::StoreRecord& record : records)
+        Internal::takeReport(node, record);
+    Internal::indexServices(node);
+    resumeParked(node);
+}
+
+void takeAllReports(Node& node, const std::vector<Platform::StoreRecord>& records, Utils::Offset end)
+{
+    std::set<std::string> named;
+    for (const Platform::StoreRecord& record : records) {
+        named.insert(record.key);
+        Internal::takeReport(node, record);
+    }
+    std::vector<Utils::UpstreamId> missing;
+    Routing::UpstreamDirectory& directory = node.beliefs.directory;
+    for (auto it = directory.entries.begin(); it != directory.entries.end(); ++it) {
+        if (!named.contains(it->first.value))
+            missing.push_back(it->first);
+    }
+    for (const Utils::UpstreamId& id : missing)
+        Internal::applyChange(node, id, Routing::applyRemoval(directory, id, end, now()), end);
+    node.beliefs.directoryLoaded = true;
+    Internal::indexServices(node);
+    resumeParked(node);
+}
+
+void takeAssignment(Node& node, const Granting::KeyAssignment& assignment)
+{
+    const auto found = node.beliefs.assignments.find(assignment.service);
+    if (found != node.beliefs.assignments.end() && !Internal::isNewer(assignment, found->second))
+        return;
+    Logging::write(Logging::Level::Info, "assignment_in_force",
+        { { "service", assignment.service.value }, { "term", assignment.term },
+            { "version", assignment.version }, { "segments", assignment.segments.size() } });
+    node.beliefs.assignments[assignment.service] = assignment;
+    resumeParked(node);
+}
+
+void takeAssignments(Node& node, const std::vector<Platform::StoreRecord>& records)
+{
+    for (const Platform::StoreRecord& record : records) {
+        if (!record.value)
+            continue;
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(assignment, Granting::decodeAssignment(*record.value));
+                takeAssignment(node, assignment);
+                return {};
+            },
+            [&](Granting::RecordError error) {
+                Logging::write(Logging::Level::Error, "record_skipped",
+                    { { "key", record.key }, { "offset", record.offset },
+                        { "error", Utils::enumName(Granting::recordErrorNames, error) } });
+            },
+            [&]() {
+                Logging::write(Logging::Level::Error, "record_skipped", { { "key", record.key } });
+            });
+    }
+}
+
+void expireReports(Node& node)
+{
+    const std::vector<Utils::UpstreamId> expired = Routing::expireMissing(node.beliefs.directory, now());
+    for (const Utils::UpstreamId& id : expired)
+        Internal::applyChange(node, id, Routing::DirectoryChange::Removed, 0);
+    if (!expired.empty())
+        Internal::indexServices(node);
+}
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/beliefupdates.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <edge/node.h>
+#include <platform/storepage.h>
+
+#include <vector>
+
+/// How what is read from the store changes what this VM believes.
+namespace Edge {
+
+/// Records of the operator; the highest version read is in force.
+void takeConfigurations(Node& node, const std::vector<Platform::StoreRecord>& records);
+
+/// Reports of upstreams.
+void takeReports(Node& node, const std::vector<Platform::StoreRecord>& records);
+
+/// The newest report of every upstream; those that are not among them are missing.
+void takeAllReports(Node& node, const std::vector<Platform::StoreRecord>& records, Utils::Offset end);
+
+/// Records of who holds which keys; the newest of each service is in force.
+void takeAssignments(Node& node, const std::vector<Platform::StoreRecord>& records);
+
+/// Puts \a assignment in force unless a later one is.
+void takeAssignment(Node& node, const Granting::KeyAssignment& assignment);
+
+/// Ends the grace of upstreams that are missing.
+void expireReports(Node& node);
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/call.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <edge/callreply.h>
+#include <edge/sockets.h>
+#include <platform/storecalls.h>
+#include <routing/endpoint.h>
+#include <utils/time.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <optional>
+
+namespace Edge {
+
+using CallHandler = std::function<void(CallReply)>;
+
+/// One HTTP call as it goes on.
+struct Call {
+    Call(boost::asio::io_context& context, Routing::Endpoint endpoint, Platform::HttpRequest request,
+        CallHandler handler)
+        : endpoint(std::move(endpoint))
+        , request(std::move(request))
+        , handler(std::move(handler))
+        , socket(context)
+        , timer(context)
+    {
+    }
+
+    Routing::Endpoint endpoint;
+    Platform::HttpRequest request;
+    CallHandler handler;
+    Tcp::socket socket;
+    boost::asio::steady_timer timer;
+    boost::beast::flat_buffer buffer;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
+    bool reused = false;
+    bool sent = false;
+};
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/callerconnection.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <edge/ownanswer.h>
+#include <edge/sockets.h>
+#include <utils/time.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <optional>
+
+namespace Edge {
+
+/// One connection from a caller.
+struct CallerConnection {
+    CallerConnection(std::uint64_t id, Tcp::socket socket)
+        : id(id)
+        , timer(socket.get_executor())
+        , socket(std::move(socket))
+    {
+    }
+
+    std::uint64_t id;
+    boost::asio::steady_timer timer;
+    Tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser;
+    /// The answer that is being written.
+    std::optional<HttpResponse> response;
+    /// The request that is being served; 0 while there is none.
+    std::uint64_t exchange = 0;
+    /// Whether part of a request has been read.
+    bool reading = false;
+    bool keepAlive = true;
+};
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/candidates.cpp
@@ -0,0 +1,71 @@
+#include <edge/candidates.h>
+
+namespace Edge {
+
+namespace Internal {
+
+/// An upstream that has just started takes about this many times longer; site files: 2 to 4.
+constexpr double coldSlowness = 2;
+
+Balancing::Distance distanceTo(const Node& node, const Utils::ZoneId& zone)
+{
+    if (zone == node.settings.zone)
+        return Balancing::Distance::SameZone;
+    const auto found = node.settings.regionOfZone.find(zone);
+    const bool sameRegion
+        = found != node.settings.regionOfZone.end() && found->second == node.settings.region;
+    return sameRegion ? Balancing::Distance::SameRegion : Balancing::Distance::OtherRegion;
+}
+
+Balancing::Candidate makeCandidate(Node& node, const Routing::DirectoryEntry& entry, Utils::Instant now)
+{
+    Balancing::Candidate candidate;
+    candidate.id = entry.record.id;
+    candidate.load = &node.traffic.links[entry.record.id].load;
+    candidate.slots = entry.record.slots;
+    candidate.distance = distanceTo(node, entry.record.zone);
+    candidate.slowness = now < entry.reportedAt + entry.record.coldLeft ? coldSlowness : 1;
+    return candidate;
+}
+
+const Granting::Segment* segmentFor(const Node& node, const Exchange& exchange)
+{
+    const auto found = node.beliefs.assignments.find(exchange.service->id);
+    if (found == node.beliefs.assignments.end() || !exchange.terms.key)
+        return nullptr;
+    return Granting::segmentOf(found->second, *exchange.terms.key);
+}
+
+} // namespace Internal
+
+std::vector<Balancing::Candidate> candidatesFor(Node& node, const Exchange& exchange, Utils::Instant now)
+{
+    std::vector<Balancing::Candidate> candidates;
+    if (exchange.service->keyed) {
+        const Granting::Segment* segment = Internal::segmentFor(node, exchange);
+        const Routing::DirectoryEntry* entry
+            = segment ? Routing::findUsable(node.beliefs.directory, segment->holder) : nullptr;
+        if (entry)
+            candidates.push_back(Internal::makeCandidate(node, *entry, now));
+        return candidates;
+    }
+    const auto known = node.beliefs.upstreamsOf.find(exchange.service->id);
+    if (known == node.beliefs.upstreamsOf.end())
+        return candidates;
+    for (const Utils::UpstreamId& id : known->second) {
+        const Routing::DirectoryEntry* entry = Routing::findUsable(node.beliefs.directory, id);
+        if (entry && !exchange.tried.contains(id))
+            candidates.push_back(Internal::makeCandidate(node, *entry, now));
+    }
+    return candidates;
+}
+
+bool lacksHolder(const Node& node, const Exchange& exchange)
+{
+    if (!exchange.service->keyed)
+        return false;
+    const Granting::Segment* segment = Internal::segmentFor(node, exchange);
+    return !segment || !segment->settled || !Routing::findUsable(node.beliefs.directory, segment->holder);
+}
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/following.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <edge/node.h>
+#include <edge/topicfollower.h>
+
+namespace Edge {
+
+/// Reads \a follower's topic from now on. Each failure counts as a disturbance of the store.
+void startFollowing(Node& node, TopicFollower& follower);
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/leaderduty.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <granting/granter.h>
+#include <granting/keyload.h>
+#include <granting/leadership.h>
+#include <granting/loadreport.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <optional>
+
+namespace Edge {
+
+/// What this VM does, or would do, as the one that grants keys.
+struct LeaderDuty {
+    explicit LeaderDuty(boost::asio::io_context& context)
+        : timer(context)
+    {
+    }
+
+    Granting::Leadership leadership;
+    /// One for each keyed service while this VM leads.
+    std::map<Utils::ServiceId, Granting::Granter> granters;
+    std::map<Utils::ServiceId, Granting::KeyLoad> loads;
+    /// Where the topic of assignments ends, as last read or written in this term.
+    std::optional<Utils::Offset> assignmentEnd;
+    /// A write of this term has succeeded, so that what it followed was the newest.
+    bool prepared = false;
+    /// The records of the former leader are being read.
+    bool preparing = false;
+    bool writing = false;
+    /// A write ended without a clear answer.
+    bool rereadNeeded = false;
+    Utils::Instant startedAt {};
+    Utils::Instant plannedAt {};
+    /// Requests for keys since the last report.
+    std::map<Utils::ServiceId, Granting::ServiceKeys> counted;
+    boost::asio::steady_timer timer;
+};
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/leading.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <edge/node.h>
+#include <platform/storerecord.h>
+
+#include <vector>
+
+/// The duty of the one VM that grants keys, and of the others that stand by for it.
+namespace Edge {
+
+/// Acts on what is due, until the VM stops.
+void startLeading(Node& node);
+
+/// Takes records of the leader's topic, in their order; at least one.
+void takeLeaderRead(Node& node, const std::vector<Platform::StoreRecord>& records);
+
+/// The leader's topic ends at \a end.
+void noteLeaderEnd(Node& node, Utils::Offset end);
+
+/// The process behind \a upstream has ended: it holds nothing any more.
+void noteUpstreamEnded(Node& node, const Utils::UpstreamId& upstream);
+
+/// Stops granting and lets another lead at once.
+void resign(Node& node);
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/metricspage.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <edge/node.h>
+
+#include <string>
+
+namespace Edge {
+
+/// All counters, gauges and histograms of \a node in the text format that monitoring systems scrape.
+std::string metricsPage(const Node& node);
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/node.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <edge/beliefs.h>
+#include <edge/callpool.h>
+#include <edge/counters.h>
+#include <edge/leaderduty.h>
+#include <edge/traffic.h>
+#include <routing/vmsettings.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace Edge {
+
+/// All state of one VM. One thread runs everything: a VM has a fifth of a core, and handing work from thread
+/// to thread costs more there than it gains.
+struct Node {
+    Node(boost::asio::io_context& context, Routing::VmSettings settings, Utils::Incarnation incarnation)
+        : context(context)
+        , settings(std::move(settings))
+        , incarnation(incarnation)
+        , calls(context)
+        , leader(context)
+        , peers(context)
+        , reportTimer(context)
+    {
+    }
+
+    boost::asio::io_context& context;
+    Routing::VmSettings settings;
+    Utils::Incarnation incarnation;
+    CallPool calls;
+    Beliefs beliefs;
+    Traffic traffic;
+    LeaderDuty leader;
+    Counters counters;
+    /// Sends and takes reports of load.
+    boost::asio::ip::udp::socket peers;
+    boost::asio::steady_timer reportTimer;
+    /// A stop was asked for: callers are sent away as they finish.
+    bool stopping = false;
+    /// Past the point at which the balancer has taken this VM out.
+    bool closing = false;
+};
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/service.cpp
@@ -0,0 +1,215 @@
+#include <edge/beliefupdates.h>
+#include <edge/callers.h>
+#include <edge/clock.h>
+#include <edge/following.h>
+#include <edge/leading.h>
+#include <edge/metricspage.h>
+#include <edge/reports.h>
+#include <edge/service.h>
+#include <edge/topics.h>
+#include <logging/log.h>
+
+#include <boost/asio/ip/address.hpp>
+
+#include <csignal>
+
+namespace Edge {
+
+namespace http = boost::beast::http;
+
+namespace Internal {
+
+using ErrorCode = boost::system::error_code;
+
+/// Where metrics are served; the deploy file names it.
+constexpr std::uint16_t metricsPort = 9464;
+/// Reads wait this long for a record. Upstreams report several times a second in all, operators and leaders
+/// seldom.
+constexpr Utils::Duration reportsWait = std::chrono::milliseconds(1500);
+constexpr Utils::Duration configurationsWait = std::chrono::seconds(20);
+constexpr Utils::Duration leaderWait = std::chrono::seconds(3);
+/// Reports of all upstreams come together; a pause keeps reads few and still leaves most of the drain bound.
+constexpr Utils::Duration reportsPause = std::chrono::milliseconds(400);
+/// A standby needs no renewal at once, as long as it sees some within a lease.
+constexpr Utils::Duration leaderPause = std::chrono::milliseconds(600);
+/// After a stop is asked for, new callers are taken until the balancer has seen two refusals a second apart.
+constexpr Utils::Duration balancerNotice = std::chrono::milliseconds(2600);
+/// Left of the stop's grace when the process ends whatever is still under way.
+constexpr Utils::Duration stopReserve = std::chrono::milliseconds(300);
+constexpr Utils::Duration stopCheck = std::chrono::milliseconds(50);
+/// The settings may change without a signal.
+constexpr Utils::Duration settingsInterval = std::chrono::seconds(3);
+
+bool isReady(const Node& node)
+{
+    return !node.stopping && node.beliefs.table && node.beliefs.directoryLoaded;
+}
+
+HttpResponse readinessAnswer(const Node& node)
+{
+    HttpResponse response(isReady(node) ? http::status::ok : http::status::service_unavailable, 11);
+    return response;
+}
+
+HttpResponse metricsAnswer(const Node& node, std::string_view target)
+{
+    const bool known = target == "/metrics";
+    HttpResponse response(known ? http::status::ok : http::status::not_found, 11);
+    response.set(http::field::content_type, "text/plain; version=0.0.4");
+    if (known)
+        response.body() = metricsPage(node);
+    return response;
+}
+
+void followTopics(Service& service)
+{
+    Node& node = service.node;
+    service.configurations.topic = Platform::operatorTopic;
+    service.configurations.wait = configurationsWait;
+    service.configurations.onRecords
+        = [&node](const std::vector<Platform::StoreRecord>& records) { takeConfigurations(node, records); };
+    service.configurations.onSnapshot = [&node](const std::vector<Platform::StoreRecord>& records,
+                                            Utils::Offset) { takeConfigurations(node, records); };
+    service.reports.topic = Platform::serversTopic;
+    service.reports.wait = reportsWait;
+    service.reports.pause = reportsPause;
+    service.reports.onRecords
+        = [&node](const std::vector<Platform::StoreRecord>& records) { takeReports(node, records); };
+    service.reports.onSnapshot = [&node](const std::vector<Platform::StoreRecord>& records,
+                                     Utils::Offset end) { takeAllReports(node, records, end); };
+    service.assignments.topic = assignmentTopic;
+    service.assignments.wait = configurationsWait;
+    service.assignments.onRecords
+        = [&node](const std::vector<Platform::StoreRecord>& records) { takeAssignments(node, records); };
+    service.assignments.onSnapshot = [&node](const std::vector<Platform::StoreRecord>& records,
+                                         Utils::Offset) { takeAssignments(node, records); };
+    service.leader.topic = leaderTopic;
+    service.leader.wait = leaderWait;
+    service.leader.pause = leaderPause;
+    service.leader.onRecords
+        = [&node](const std::vector<Platform::StoreRecord>& records) { takeLeaderRead(node, records); };
+    service.leader.onRead = [&node](Utils::Offset end) { noteLeaderEnd(node, end); };
+    startFollowing(node, service.configurations);
+    startFollowing(node, service.reports);
+    startFollowing(node, service.assignments);
+    startFollowing(node, service.leader);
+}
+
+void acceptNext(Service& service)
+{
+    service.callers.async_accept([&service](const ErrorCode& error, Tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted || !service.callers.is_open())
+            return;
+        if (!error)
+            addCaller(service.node, std::move(socket));
+        acceptNext(service);
+    });
+}
+
+void listenForCallers(Service& service)
+{
+    const Tcp::endpoint endpoint = toTcp(service.node.settings.callers);
+    service.callers.open(endpoint.protocol());
+    service.callers.set_option(Tcp::acceptor::reuse_address(true));
+    service.callers.bind(endpoint);
+    service.callers.listen();
+    acceptNext(service);
+}
+
+void checkStop(Service& service)
+{
+    Node& node = service.node;
+    const Utils::Duration since = now() - service.stopAt;
+    if (!node.closing && since >= balancerNotice) {
+        node.closing = true;
+        ErrorCode ignored;
+        service.callers.close(ignored);
+    }
+    if (node.closing)
+        closeIdleCallers(node);
+    const bool timeUp = since >= node.settings.bounds.stopGrace - stopReserve;
+    if (timeUp || (node.closing && node.traffic.callers.empty())) {
+        Logging::write(Logging::Level::Info, "stopped",
+            { { "after_ms", Utils::toMilliseconds(since) }, { "cut", node.traffic.exchanges.size() } });
+        node.context.stop();
+        return;
+    }
+    service.stopTimer.expires_after(stopCheck);
+    service.stopTimer.async_wait([&service](const ErrorCode& error) {
+        if (!error)
+            checkStop(service);
+    });
+}
+
+void beginStop(Service& service)
+{
+    if (service.node.stopping)
+        return;
+    Logging::write(Logging::Level::Info, "stopping",
+        { { "requests", service.node.traffic.exchanges.size() },
+            { "callers", service.node.traffic.callers.size() } });
+    service.node.stopping = true;
+    service.stopAt = now();
+    resign(service.node);
+    checkStop(service);
+}
+
+void reloadSettings(Service& service, bool asked)
+{
+    const std::optional<Routing::VmSettings> settings = service.reload();
+    if (!settings)
+        return;
+    const bool changed = settings->bounds != service.node.settings.bounds;
+    service.node.settings.bounds = settings->bounds;
+    if (asked || changed)
+        Logging::write(
+            Logging::Level::Info, "settings_reloaded", { { "asked", asked }, { "changed", changed } });
+}
+
+void watchSettings(Service& service)
+{
+    service.settingsTimer.expires_after(settingsInterval);
+    service.settingsTimer.async_wait([&service](const ErrorCode& error) {
+        if (error)
+            return;
+        reloadSettings(service, false);
+        watchSettings(service);
+    });
+}
+
+void awaitSignal(Service& service)
+{
+    service.signals.async_wait([&service](const ErrorCode& error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP)
+            reloadSettings(service, true);
+        else
+            beginStop(service);
+        awaitSignal(service);
+    });
+}
+
+} // namespace Internal
+
+void startService(Service& service)
+{
+    Node& node = service.node;
+    node.leader.leadership.self = { node.settings.name, node.incarnation,
+        { node.settings.address, node.settings.firstInternalPort } };
+    for (const int signal : { SIGTERM, SIGINT, SIGHUP })
+        service.signals.add(signal);
+    Internal::awaitSignal(service);
+    service.readiness.answer = [&node](std::string_view) { return Internal::readinessAnswer(node); };
+    startServing(service.readiness, toTcp(node.settings.readiness));
+    service.metrics.answer
+        = [&node](std::string_view target) { return Internal::metricsAnswer(node, target); };
+    startServing(service.metrics, toTcp({ node.settings.address, Internal::metricsPort }));
+    Internal::listenForCallers(service);
+    startReports(node);
+    Internal::followTopics(service);
+    startLeading(node);
+    Internal::watchSettings(service);
+}
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/storecaller.cpp
@@ -0,0 +1,34 @@
+#include <edge/storecaller.h>
+
+namespace Edge {
+
+namespace Internal {
+
+Platform::StoreOutcome outcomeOf(const CallReply& reply)
+{
+    switch (reply.outcome) {
+    case CallOutcome::Answered:
+        return Platform::outcomeOfStatus(reply.status);
+    case CallOutcome::ConnectionRefused:
+    case CallOutcome::NotConnected:
+        return Platform::StoreOutcome::Refused;
+    case CallOutcome::Broken:
+    case CallOutcome::TimedOut:
+        return Platform::StoreOutcome::Unknown;
+    }
+    return Platform::StoreOutcome::Unknown;
+}
+
+} // namespace Internal
+
+void callStore(Node& node, Platform::HttpRequest request, Utils::Duration timeout, StoreHandler handler)
+{
+    startCall(node.calls, node.settings.store, std::move(request), timeout,
+        [&node, handler = std::move(handler)](CallReply reply) {
+            const Platform::StoreOutcome outcome = Internal::outcomeOf(reply);
+            node.counters.storeCalls.add(outcome);
+            handler(outcome, std::move(reply.body));
+        });
+}
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/topicfollower.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <platform/storepage.h>
+#include <utils/time.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Edge {
+
+/// Reads one topic of the store for good.
+struct TopicFollower {
+    explicit TopicFollower(boost::asio::io_context& context)
+        : timer(context)
+    {
+    }
+
+    std::string topic;
+    /// How long the store may keep a read waiting for a record.
+    Utils::Duration wait {};
+    /// Pause between an answer and the next read; bounds how often a busy topic is read.
+    Utils::Duration pause {};
+    /// Takes the newest record of all keys. Called at the start, and when records were missed.
+    std::function<void(const std::vector<Platform::StoreRecord>&, Utils::Offset end)> onSnapshot;
+    /// Takes records as they come.
+    std::function<void(const std::vector<Platform::StoreRecord>&)> onRecords;
+    /// Called after each read that was answered.
+    std::function<void(Utils::Offset end)> onRead;
+    /// Where to read on; nothing before the first snapshot.
+    std::optional<Utils::Offset> next;
+    /// Pages of a snapshot so far.
+    std::vector<Platform::StoreRecord> pages;
+    std::optional<Utils::Offset> snapshotEnd;
+    /// Reads without an answer in a row.
+    unsigned failures = 0;
+    boost::asio::steady_timer timer;
+};
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/traffic.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <balancing/poisonmemory.h>
+#include <balancing/retrybudget.h>
+#include <balancing/servicestats.h>
+#include <edge/callerconnection.h>
+#include <edge/exchange.h>
+#include <edge/upstreamconnection.h>
+#include <edge/upstreamlink.h>
+#include <routing/splitstate.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace Edge {
+
+/// Requests on their way, connections, and what was learned from them. Handlers of pending operations share
+/// the object whose buffers they use until they have run.
+struct Traffic {
+    std::uint64_t lastId = 0;
+    std::unordered_map<std::uint64_t, std::shared_ptr<CallerConnection>> callers;
+    std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> exchanges;
+    std::unordered_map<std::uint64_t, std::shared_ptr<UpstreamConnection>> connections;
+    std::unordered_map<Utils::UpstreamId, UpstreamLink> links;
+    std::unordered_map<Utils::ServiceId, Balancing::ServiceStats> stats;
+    std::unordered_map<Utils::ServiceId, Balancing::RetryBudget> budgets;
+    /// Mean bytes of a route's answers.
+    std::unordered_map<std::string, double> answerBytes;
+    /// Longest deadline seen on a route: that of callers' first attempts.
+    std::unordered_map<std::string, Utils::Duration> longestDeadline;
+    Routing::SplitState split;
+    Balancing::PoisonMemory poison;
+    /// Bytes of the request bodies held.
+    std::uint64_t heldBytes = 0;
+};
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/upstreamconnection.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <edge/sockets.h>
+#include <utils/ids.h>
+#include <utils/time.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/span_body.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <optional>
+
+namespace Edge {
+
+/// One connection to an upstream.
+struct UpstreamConnection {
+    UpstreamConnection(std::uint64_t id, boost::asio::io_context& context)
+        : id(id)
+        , socket(context)
+        , timer(context)
+    {
+    }
+
+    std::uint64_t id;
+    Utils::UpstreamId upstream;
+    Utils::ServiceId service;
+    Routing::Endpoint endpoint;
+    Tcp::socket socket;
+    boost::asio::steady_timer timer;
+    boost::beast::flat_buffer buffer;
+    std::optional<boost::beast::http::request<boost::beast::http::span_body<const char>>> request;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
+    /// The exchange that uses it; 0 while it is idle.
+    std::uint64_t exchange = 0;
+    bool reused = false;
+    bool connected = false;
+    bool written = false;
+    Utils::Instant sentAt {};
+    Utils::Instant idleSince {};
+    /// How long it may stay idle.
+    Utils::Duration keepAlive {};
+};
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/upstreamlink.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <balancing/upstreamload.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace Edge {
+
+/// What this VM has with one upstream.
+struct UpstreamLink {
+    Balancing::UpstreamLoad load;
+    /// Idle connections, the last used one last.
+    std::vector<std::uint64_t> idle;
+};
+
+} // namespace Edge
--- a/src/libs/gateway/controlduty.cpp
+++ b/src/libs/gateway/controlduty.cpp
@@ -99,8 +99,8 @@
 
 void ControlDuty::handle(const VmsListed& event)
 {
-    std::map<Utils::VmId, Platform::VmEntry> vms;
-    for (const Platform::VmEntry& entry : event.entries)
+    std::map<Utils::VmId, LogService::VmEntry> vms;
+    for (const LogService::VmEntry& entry : event.entries)
         vms[entry.vm] = entry;
     if (vms == this->state.vms)
         return;
@@ -141,9 +141,9 @@
         this->state.reader.state.agreed.assignments)
         table->pools[entry.first]
             = { entry.second.token, entry.second.dispatcher.vm, entry.second.successor.vm };
-    for (const std::pair<const Utils::VmId, Platform::VmEntry>& entry : this->state.vms) {
+    for (const std::pair<const Utils::VmId, LogService::VmEntry>& entry : this->state.vms) {
         table->vms[entry.first] = { { entry.second.address, entry.second.peerPort }, entry.second.region,
-            entry.second.zone, entry.second.state == Platform::VmState::Leaving };
+            entry.second.zone, entry.second.state == LogService::VmState::Leaving };
     }
     if (!this->state.outputs.toNetwork(RoutingChanged(table)))
         this->state.metrics.counters.add(Counter::RingFull);
--- a/src/libs/gateway/controlstate.h
+++ b/src/libs/gateway/controlstate.h
@@ -9,7 +9,7 @@
 #include <gateway/upstreamhealth.h>
 #include <membership/vmhealth.h>
 #include <ownership/granterstate.h>
-#include <platform/vmentry.h>
+#include <logservice/vmentry.h>
 #include <utils/ids.h>
 #include <utils/time.h>
 
@@ -47,7 +47,7 @@
     std::shared_ptr<const Declarations::Configuration> configuration;
     Utils::Offset configurationOffset = 0;
     std::map<Utils::PoolId, Ownership::GranterState> granters;
-    std::map<Utils::VmId, Platform::VmEntry> vms;
+    std::map<Utils::VmId, LogService::VmEntry> vms;
     std::map<Utils::VmId, Membership::VmHealth> health;
     std::map<Utils::UpstreamId, UpstreamHealth> upstreams;
     std::map<Utils::UpstreamId, IdleConnections> idle;
--- a/src/libs/gateway/logduty.cpp
+++ b/src/libs/gateway/logduty.cpp
@@ -2,8 +2,8 @@
 
 #include <gateway/gatewayconstants.h>
 #include <logging/log.h>
-#include <platform/logclient.h>
-#include <platform/platformerror.h>
+#include <logservice/logclient.h>
+#include <logservice/platformerror.h>
 
 #include <boost/leaf.hpp>
 
@@ -21,10 +21,10 @@
 constexpr unsigned maxAppendAttempts = 3;
 
 /// Whether the same text can be sent again: the fold ignores a repeat.
-bool worthRepeating(Platform::PlatformError error)
+bool worthRepeating(LogService::PlatformError error)
 {
-    return error == Platform::PlatformError::AnswerLost || error == Platform::PlatformError::Timeout
-        || error == Platform::PlatformError::Unavailable;
+    return error == LogService::PlatformError::AnswerLost || error == LogService::PlatformError::Timeout
+        || error == LogService::PlatformError::Unavailable;
 }
 
 } // namespace Internal
@@ -71,7 +71,7 @@
     leaf::try_handle_all(
         [this]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(answer,
-                Platform::readRecords(this->endpoint, this->next, logReadLimit,
+                LogService::readRecords(this->endpoint, this->next, logReadLimit,
                     std::chrono::milliseconds(logWaitMilliseconds), platformTimeout));
             if (answer.records.empty())
                 return {};
@@ -79,16 +79,16 @@
             this->send(LogRead { answer.kept.first, std::move(answer.records) });
             return {};
         },
-        [this](Platform::PlatformError error, const Platform::KeptRange& kept) {
-            if (error == Platform::PlatformError::Expired && kept.first > this->next) {
+        [this](LogService::PlatformError error, const LogService::KeptRange& kept) {
+            if (error == LogService::PlatformError::Expired && kept.first > this->next) {
                 this->next = kept.first;
                 this->send(LogExpired { kept.first });
             }
         },
-        [this](Platform::PlatformError error) {
+        [this](LogService::PlatformError error) {
             this->metrics.counters.add(Counter::LogReadsFailed);
             Logging::write(Logging::Level::Debug, "log_read_failed",
-                { { "error", Utils::enumName(Platform::platformErrorNames, error) } });
+                { { "error", Utils::enumName(LogService::platformErrorNames, error) } });
             std::this_thread::sleep_for(Internal::pauseAfterFailure);
         },
         [this]() { this->metrics.counters.add(Counter::LogReadsFailed); });
@@ -112,13 +112,13 @@
         this->metrics.counters.add(Counter::LogAppends);
         repeat = leaf::try_handle_all(
             [&]() -> leaf::result<bool> {
-                BOOST_LEAF_CHECK(Platform::appendRecord(this->endpoint, text, platformTimeout));
+                BOOST_LEAF_CHECK(LogService::appendRecord(this->endpoint, text, platformTimeout));
                 return false;
             },
-            [this](Platform::PlatformError error) {
+            [this](LogService::PlatformError error) {
                 this->metrics.counters.add(Counter::LogAppendsFailed);
                 Logging::write(Logging::Level::Warning, "log_append_failed",
-                    { { "error", Utils::enumName(Platform::platformErrorNames, error) } });
+                    { { "error", Utils::enumName(LogService::platformErrorNames, error) } });
                 return Internal::worthRepeating(error);
             },
             []() { return false; });
--- a/src/libs/gateway/logduty.h
+++ b/src/libs/gateway/logduty.h
@@ -3,7 +3,7 @@
 #include <gateway/controlevent.h>
 #include <gateway/daemonsettings.h>
 #include <gateway/gatewaymetrics.h>
-#include <platform/logendpoint.h>
+#include <logservice/logendpoint.h>
 #include <utils/boundedring.h>
 
 #include <atomic>
@@ -33,7 +33,7 @@
     void appendOnce(const std::string& text);
     void send(const ControlEvent& event);
 
-    const Platform::LogEndpoint endpoint;
+    const LogService::LogEndpoint endpoint;
     GatewayMetrics& metrics;
     std::function<bool(ControlEvent)> toControl;
     Utils::BoundedRing<std::string> appends;
--- a/src/libs/gateway/proposals.cpp
+++ b/src/libs/gateway/proposals.cpp
@@ -33,12 +33,12 @@
 {
     const Utils::Instant now = Utils::monotonicNow();
     std::map<Utils::VmId, VmCandidate> alive;
-    for (const std::pair<const Utils::VmId, Platform::VmEntry>& entry : state.vms) {
+    for (const std::pair<const Utils::VmId, LogService::VmEntry>& entry : state.vms) {
         const auto health = state.health.find(entry.first);
         if (entry.first == state.self.vm || health == state.health.end()
             || !Membership::isAlive(health->second, now, vmSilence))
             continue;
-        const bool leaving = health->second.leaving || entry.second.state == Platform::VmState::Leaving;
+        const bool leaving = health->second.leaving || entry.second.state == LogService::VmState::Leaving;
         const Agreement::VmStart start { entry.first, health->second.incarnation };
         alive[entry.first] = { { start, entry.second.zone, entry.second.region }, leaving };
     }
--- a/src/libs/gateway/statusreport.cpp
+++ b/src/libs/gateway/statusreport.cpp
@@ -32,7 +32,7 @@
     return object;
 }
 
-json::object vmStatus(const ControlState& state, const Platform::VmEntry& entry)
+json::object vmStatus(const ControlState& state, const LogService::VmEntry& entry)
 {
     constexpr Utils::Duration silence = std::chrono::milliseconds(1600);
     json::object object;
@@ -71,7 +71,7 @@
         duties[entry.first.value] = Internal::dutyStatus(entry.second);
     status["duties"] = std::move(duties);
     boost::json::object vms;
-    for (const std::pair<const Utils::VmId, Platform::VmEntry>& entry : state.vms)
+    for (const std::pair<const Utils::VmId, LogService::VmEntry>& entry : state.vms)
         vms[entry.first.value] = Internal::vmStatus(state, entry.second);
     status["vms"] = std::move(vms);
     return boost::json::serialize(status);
--- a/src/libs/gateway/vmlistduty.cpp
+++ b/src/libs/gateway/vmlistduty.cpp
@@ -2,8 +2,8 @@
 
 #include <gateway/gatewayconstants.h>
 #include <logging/log.h>
-#include <platform/platformerror.h>
-#include <platform/vmlistclient.h>
+#include <logservice/platformerror.h>
+#include <logservice/vmlistclient.h>
 
 #include <boost/leaf.hpp>
 
@@ -52,16 +52,16 @@
     this->metrics.counters.add(Counter::VmListReads);
     leaf::try_handle_all(
         [this]() -> leaf::result<void> {
-            BOOST_LEAF_AUTO(
-                entries, Platform::listVms({ this->endpoint.address, this->endpoint.port }, platformTimeout));
+            BOOST_LEAF_AUTO(entries,
+                LogService::listVms({ this->endpoint.address, this->endpoint.port }, platformTimeout));
             if (!this->toControl(VmsListed { std::move(entries) }))
                 this->metrics.counters.add(Counter::RingFull);
             return {};
         },
-        [this](Platform::PlatformError error) {
+        [this](LogService::PlatformError error) {
             this->metrics.counters.add(Counter::VmListReadsFailed);
             Logging::write(Logging::Level::Debug, "vm_list_read_failed",
-                { { "error", Utils::enumName(Platform::platformErrorNames, error) } });
+                { { "error", Utils::enumName(LogService::platformErrorNames, error) } });
         },
         [this]() { this->metrics.counters.add(Counter::VmListReadsFailed); });
 }
--- a/src/libs/gateway/vmslisted.h
+++ b/src/libs/gateway/vmslisted.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <platform/vmentry.h>
+#include <logservice/vmentry.h>
 
 #include <vector>
 
@@ -8,7 +8,7 @@
 
 /// VM list duty to control: the platform's list as it stands there.
 struct VmsListed {
-    std::vector<Platform::VmEntry> entries;
+    std::vector<LogService::VmEntry> entries;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/watching.cpp
+++ b/src/libs/gateway/watching.cpp
@@ -50,7 +50,7 @@
 std::set<Utils::VmId> listedVms(const ControlState& state)
 {
     std::set<Utils::VmId> names;
-    for (const std::pair<const Utils::VmId, Platform::VmEntry>& entry : state.vms)
+    for (const std::pair<const Utils::VmId, LogService::VmEntry>& entry : state.vms)
         names.insert(entry.first);
     return names;
 }
--- /dev/null
+++ b/src/libs/granting/granter.cpp
@@ -0,0 +1,307 @@
+#include <granting/granter.h>
+#include <granting/grantingconstants.h>
+
+#include <algorithm>
+
+namespace Granting {
+
+namespace Internal {
+
+bool overlap(const Routing::KeySpan& one, const Routing::KeySpan& other)
+{
+    return one.first <= other.last && other.first <= one.last;
+}
+
+Routing::KeySpan common(const Routing::KeySpan& one, const Routing::KeySpan& other)
+{
+    return { std::max(one.first, other.first), std::min(one.last, other.last) };
+}
+
+/// Time until which a hold that is sent at \a now may last at the upstream.
+Utils::Instant endOfHold(Utils::Duration hold, Utils::Instant now)
+{
+    return now + hold
+        + Utils::Duration(static_cast<std::int64_t>(static_cast<double>(hold.count()) * clockDrift))
+        + expiryMargin;
+}
+
+void addClaim(
+    Granter& granter, const Routing::KeySpan& span, const Utils::UpstreamId& upstream, Utils::Instant until)
+{
+    for (Claim& claim : granter.claims) {
+        if (claim.span == span && claim.upstream == upstream) {
+            claim.until = std::max(claim.until, until);
+            return;
+        }
+    }
+    granter.claims.push_back({ span, upstream, until });
+}
+
+/// Takes \a span out of what \a upstream may hold.
+void cutClaims(Granter& granter, const Routing::KeySpan& span, const Utils::UpstreamId& upstream)
+{
+    std::vector<Claim> left;
+    for (const Claim& claim : granter.claims) {
+        if (claim.upstream != upstream || !overlap(claim.span, span)) {
+            left.push_back(claim);
+            continue;
+        }
+        if (claim.span.first < span.first)
+            left.push_back(
+                { { claim.span.first, static_cast<std::uint16_t>(span.first - 1) }, upstream, claim.until });
+        if (claim.span.last > span.last)
+            left.push_back(
+                { { static_cast<std::uint16_t>(span.last + 1), claim.span.last }, upstream, claim.until });
+    }
+    granter.claims = std::move(left);
+}
+
+/// The first that may hold keys of \a segment and is not its holder.
+const Claim* foreignClaim(const Granter& granter, const Segment& segment)
+{
+    const auto found = std::find_if(granter.claims.begin(), granter.claims.end(), [&](const Claim& claim) {
+        return claim.upstream != segment.holder && overlap(claim.span, segment.span);
+    });
+    return found == granter.claims.end() ? nullptr : &*found;
+}
+
+std::uint64_t nextToken(Granter& granter)
+{
+    ++granter.tokensUsed;
+    return granter.assignment.term * tokensPerTerm + granter.tokensUsed;
+}
+
+bool isDue(const SentGrant& sent, Utils::Duration pause, Utils::Instant now)
+{
+    return !sent.waiting && now - sent.at >= pause;
+}
+
+GrantAction makeRelease(Granter& granter, const Segment& segment, const Claim& claim)
+{
+    GrantAction action;
+    action.kind = GrantAction::Kind::Release;
+    action.service = granter.assignment.service;
+    action.upstream = claim.upstream;
+    action.span = common(claim.span, segment.span);
+    action.segmentFirst = segment.span.first;
+    // A higher token than that of any grant still under way, so that none can take effect after the release.
+    action.token = nextToken(granter);
+    return action;
+}
+
+/// A holder that left a call unanswered is asked again without its claim growing: if it is lost, its keys are
+/// free as soon as they can be.
+Utils::Duration holdFor(
+    const Granter& granter, const Segment& segment, Utils::Duration hold, Utils::Instant now)
+{
+    if (!granter.doubtful.contains(segment.holder))
+        return hold;
+    Utils::Instant until {};
+    for (const Claim& claim : granter.claims) {
+        if (claim.upstream == segment.holder && overlap(claim.span, segment.span))
+            until = std::max(until, claim.until);
+    }
+    const double left = static_cast<double>((until - now - expiryMargin).count()) / (1 + clockDrift);
+    const Utils::Duration remaining(static_cast<std::int64_t>(left));
+    return remaining < shortestHold ? std::min(hold, shortestHold) : std::min(hold, remaining);
+}
+
+GrantAction makeGrant(Granter& granter, Segment& segment, Utils::Duration hold, Utils::Instant now)
+{
+    if (segment.token == 0)
+        segment.token = nextToken(granter);
+    GrantAction action;
+    action.service = granter.assignment.service;
+    action.upstream = segment.holder;
+    action.span = segment.span;
+    action.segmentFirst = segment.span.first;
+    action.token = segment.token;
+    action.hold = holdFor(granter, segment, hold, now);
+    const auto handover = granter.handovers.find(segment.span.first);
+    if (!segment.settled && handover != granter.handovers.end())
+        action.handover = handover->second;
+    addClaim(granter, segment.span, segment.holder, endOfHold(action.hold, now));
+    return action;
+}
+
+Segment* segmentAt(Granter& granter, std::uint16_t key)
+{
+    const auto found = std::find_if(granter.assignment.segments.begin(), granter.assignment.segments.end(),
+        [key](const Segment& segment) { return Routing::contains(segment.span, key); });
+    return found == granter.assignment.segments.end() ? nullptr : &*found;
+}
+
+void addFormer(Segment& segment, const Utils::UpstreamId& upstream)
+{
+    const bool known
+        = std::find(segment.formers.begin(), segment.formers.end(), upstream) != segment.formers.end();
+    if (!known && upstream != segment.holder && !upstream.value.empty())
+        segment.formers.push_back(upstream);
+}
+
+/// Everyone who may hold keys of \a segment or may yet be granted some until the record is written.
+void nameFormers(const Granter& granter, Segment& segment)
+{
+    segment.formers.clear();
+    for (const Claim& claim : granter.claims) {
+        if (overlap(claim.span, segment.span))
+            addFormer(segment, claim.upstream);
+    }
+    for (const Segment& inForce : granter.assignment.segments) {
+        if (overlap(inForce.span, segment.span))
+            addFormer(segment, inForce.holder);
+    }
+}
+
+/// Takes over what is known of the holder's grant: the token where the segment lies within one in force, and
+/// whether all of its keys are settled.
+void inherit(const Granter& granter, Segment& segment)
+{
+    segment.settled = !segment.holder.value.empty();
+    segment.token = 0;
+    for (const Segment& inForce : granter.assignment.segments) {
+        if (!overlap(inForce.span, segment.span))
+            continue;
+        segment.settled = segment.settled && inForce.holder == segment.holder && inForce.settled;
+        const bool within
+            = inForce.span.first <= segment.span.first && segment.span.last <= inForce.span.last;
+        if (within && inForce.holder == segment.holder)
+            segment.token = inForce.token;
+    }
+}
+
+void noteGrantAnswer(Granter& granter, Segment& segment, const GrantAction& action, GrantAnswer answer)
+{
+    if (segment.span != action.span || segment.holder != action.upstream || segment.token != action.token)
+        return;
+    if (answer == GrantAnswer::Accepted && !segment.settled) {
+        segment.settled = true;
+        granter.handovers.erase(segment.span.first);
+        granter.changed = true;
+    }
+    // Another token of this term was higher; the next grant's is above it.
+    if (answer == GrantAnswer::FencedOff)
+        segment.token = 0;
+}
+
+void noteReleaseAnswer(Granter& granter, const GrantAction& action, GrantAnswer answer,
+    const std::string& handover, SentGrant& sent)
+{
+    if (answer != GrantAnswer::Accepted)
+        return;
+    cutClaims(granter, action.span, action.upstream);
+    if (!handover.empty())
+        granter.handovers[action.segmentFirst] = handover;
+    // What has become free is granted without a pause.
+    sent.at = {};
+}
+
+} // namespace Internal
+
+Granter takeOver(
+    KeyAssignment assignment, std::uint64_t term, Utils::Duration longestHold, Utils::Instant now)
+{
+    Granter granter;
+    granter.assignment = std::move(assignment);
+    granter.assignment.term = term;
+    const Utils::Instant until = Internal::endOfHold(longestHold, now);
+    for (Segment& segment : granter.assignment.segments) {
+        segment.token = 0;
+        if (!segment.holder.value.empty())
+            Internal::addClaim(granter, segment.span, segment.holder, until);
+        for (const Utils::UpstreamId& former : segment.formers)
+            Internal::addClaim(granter, segment.span, former, until);
+    }
+    return granter;
+}
+
+KeyAssignment nextRecord(const Granter& granter, const std::optional<std::vector<KeyPlacement>>& plan)
+{
+    KeyAssignment record = granter.assignment;
+    ++record.version;
+    if (plan) {
+        record.segments.clear();
+        for (const KeyPlacement& placement : *plan)
+            record.segments.push_back({ placement.span, placement.holder, false, 0, {} });
+    }
+    for (Segment& segment : record.segments) {
+        Internal::inherit(granter, segment);
+        if (segment.settled)
+            segment.formers.clear();
+        else
+            Internal::nameFormers(granter, segment);
+    }
+    return record;
+}
+
+void noteWritten(Granter& granter, KeyAssignment record)
+{
+    for (Segment& segment : record.segments)
+        Internal::inherit(granter, segment);
+    granter.assignment = std::move(record);
+}
+
+std::vector<GrantAction> dueActions(Granter& granter, Utils::Duration hold, Utils::Instant now)
+{
+    std::erase_if(granter.claims, [now](const Claim& claim) { return claim.until <= now; });
+    std::vector<GrantAction> actions;
+    for (Segment& segment : granter.assignment.segments) {
+        SentGrant& sent = granter.sent[segment.span.first];
+        const bool calm = segment.settled && !granter.doubtful.contains(segment.holder);
+        if (segment.holder.value.empty() || !Internal::isDue(sent, calm ? holdRenewal : grantRetry, now))
+            continue;
+        const Claim* foreign = segment.settled ? nullptr : Internal::foreignClaim(granter, segment);
+        actions.push_back(foreign ? Internal::makeRelease(granter, segment, *foreign)
+                                  : Internal::makeGrant(granter, segment, hold, now));
+        sent = { now, true };
+    }
+    return actions;
+}
+
+void noteAnswer(Granter& granter, const GrantAction& action, GrantAnswer answer, const std::string& handover,
+    Utils::Instant now)
+{
+    SentGrant& sent = granter.sent[action.segmentFirst];
+    sent.waiting = false;
+    if (answer == GrantAnswer::Accepted || answer == GrantAnswer::FencedOff)
+        granter.doubtful.erase(action.upstream);
+    else
+        granter.doubtful.try_emplace(action.upstream, now);
+    if (action.kind == GrantAction::Kind::Release) {
+        Internal::noteReleaseAnswer(granter, action, answer, handover, sent);
+        return;
+    }
+    if (Segment* segment = Internal::segmentAt(granter, action.span.first))
+        Internal::noteGrantAnswer(granter, *segment, action, answer);
+}
+
+void noteLoss(Granter& granter, const Utils::UpstreamId& upstream)
+{
+    granter.doubtful.erase(upstream);
+    std::erase_if(granter.claims, [&](const Claim& claim) { return claim.upstream == upstream; });
+    for (Segment& segment : granter.assignment.segments) {
+        if (segment.holder != upstream)
+            continue;
+        segment.settled = false;
+        // Another life of the same upstream needs a higher token.
+        segment.token = 0;
+        granter.changed = true;
+    }
+}
+
+bool isLost(const Granter& granter, const Utils::UpstreamId& upstream, Utils::Instant now)
+{
+    const auto found = granter.doubtful.find(upstream);
+    return found != granter.doubtful.end() && now - found->second >= silenceThatMoves;
+}
+
+void forgetDoubts(Granter& granter, Utils::Instant now)
+{
+    std::erase_if(granter.doubtful, [&](const std::pair<const Utils::UpstreamId, Utils::Instant>& doubt) {
+        const bool holds = std::any_of(granter.assignment.segments.begin(), granter.assignment.segments.end(),
+            [&](const Segment& segment) { return segment.holder == doubt.first; });
+        return !holds && now - doubt.second >= doubtMemory;
+    });
+}
+
+} // namespace Granting
--- /dev/null
+++ b/src/libs/granting/granter.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <granting/claim.h>
+#include <granting/grantaction.h>
+#include <granting/grantanswer.h>
+#include <granting/keyassignment.h>
+#include <granting/keyplacement.h>
+#include <granting/sentgrant.h>
+#include <utils/time.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Granting {
+
+/// What the leader knows of the keys of one service.
+struct Granter {
+    /// In force: what was last acknowledged by the store, with what was settled since.
+    KeyAssignment assignment;
+    /// Something was settled since the last write began.
+    bool changed = false;
+    std::vector<Claim> claims;
+    /// Tokens used in this term.
+    std::uint64_t tokensUsed = 0;
+    /// The last call for each segment, by its first key.
+    std::map<std::uint16_t, SentGrant> sent;
+    /// What former holders gave for segments, by first key.
+    std::map<std::uint16_t, std::string> handovers;
+    /// Holders that left a call unanswered, and since when.
+    std::map<Utils::UpstreamId, Utils::Instant> doubtful;
+};
+
+/// What a new leader knows: everyone named in \a assignment may have been granted keys until this moment, for
+/// \a longestHold.
+Granter takeOver(
+    KeyAssignment assignment, std::uint64_t term, Utils::Duration longestHold, Utils::Instant now);
+
+/// The record to write: the segments in force, or those of \a plan. It names everyone who may hold keys, so
+/// that the next leader knows them, and has to be acknowledged before noteWritten().
+KeyAssignment nextRecord(const Granter& granter, const std::optional<std::vector<KeyPlacement>>& plan);
+
+/// \a record stands in the store: its holders may be granted their keys from now on.
+void noteWritten(Granter& granter, KeyAssignment record);
+
+/// The calls that are due at \a now, noted as sent. Only the leader may ask. A segment is granted to a new
+/// holder when nobody else may hold any of its keys.
+std::vector<GrantAction> dueActions(Granter& granter, Utils::Duration hold, Utils::Instant now);
+
+/// Takes what came of \a action.
+void noteAnswer(Granter& granter, const GrantAction& action, GrantAnswer answer, const std::string& handover,
+    Utils::Instant now);
+
+/// \a upstream's process has certainly ended, or started anew: it holds nothing.
+void noteLoss(Granter& granter, const Utils::UpstreamId& upstream);
+
+/// Whether \a upstream has not answered for so long that its keys should go to others.
+bool isLost(const Granter& granter, const Utils::UpstreamId& upstream, Utils::Instant now);
+
+/// Lets upstreams that hold nothing be tried again some time after they did not answer.
+void forgetDoubts(Granter& granter, Utils::Instant now);
+
+} // namespace Granting
--- /dev/null
+++ b/src/libs/granting/keyserver.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <utils/ids.h>
+
+namespace Granting {
+
+/// An upstream that can hold keys.
+struct KeyServer {
+    Utils::UpstreamId id;
+    /// Requests a second that it can serve.
+    double capacity = 1;
+};
+
+} // namespace Granting
--- /dev/null
+++ b/src/libs/granting/planplacement.cpp
@@ -0,0 +1,227 @@
+#include <granting/grantingconstants.h>
+#include <granting/planplacement.h>
+
+#include <algorithm>
+#include <map>
+
+namespace Granting {
+
+namespace Internal {
+
+/// Share of the load that is taken to lie evenly over all keys, for those that were not seen lately.
+constexpr double evenShare = 0.15;
+/// Least even load, in requests a second, for a service without traffic.
+constexpr double leastEvenLoad = 2;
+/// An upstream is relieved beyond this many times its share, if it is also this busy.
+constexpr double ratioToRelieve = 1.3;
+constexpr double useToRelieve = 0.4;
+/// An upstream with less than this part of its share gets more, however busy the others are.
+constexpr double ratioToFill = 0.25;
+constexpr std::size_t mostMovesAtOnce = 6;
+/// Chunks that the keys of a lost upstream are dealt in, for each upstream that is left.
+constexpr double chunksEach = 3;
+
+struct Plan {
+    std::vector<KeyPlacement> placements;
+    /// Load of all keys before the one at this position.
+    std::vector<double> before;
+    std::vector<KeyServer> servers;
+    std::map<Utils::UpstreamId, double> loads;
+    double total = 0;
+    double totalCapacity = 0;
+};
+
+std::vector<double> sumsBefore(const KeyLoad& load)
+{
+    constexpr std::size_t keys = std::size_t(UINT16_MAX) + 1;
+    double measured = 0;
+    for (const float rate : load.rates)
+        measured += rate;
+    const double even = std::max(leastEvenLoad, measured * evenShare) / static_cast<double>(keys);
+    std::vector<double> sums(keys + 1, 0);
+    for (std::size_t key = 0; key < keys; ++key)
+        sums[key + 1] = sums[key] + even + (load.rates.empty() ? 0 : load.rates[key]);
+    return sums;
+}
+
+double loadOf(const Plan& plan, const Routing::KeySpan& span)
+{
+    return plan.before[static_cast<std::size_t>(span.last) + 1] - plan.before[span.first];
+}
+
+double shareOf(const Plan& plan, const KeyServer& server)
+{
+    return plan.total * server.capacity / plan.totalCapacity;
+}
+
+double ratioOf(const Plan& plan, const KeyServer& server)
+{
+    const auto found = plan.loads.find(server.id);
+    return found == plan.loads.end() ? 0 : found->second / shareOf(plan, server);
+}
+
+/// The last key of the longest span from \a first on, within \a span, with at most \a load; at least one key.
+std::uint16_t lastKeyWithin(const Plan& plan, const Routing::KeySpan& span, double load)
+{
+    const auto begin = plan.before.begin() + span.first + 1;
+    const auto end = plan.before.begin() + span.last + 2;
+    const auto beyond = std::upper_bound(begin, end, plan.before[span.first] + load);
+    const std::ptrdiff_t keys = std::max<std::ptrdiff_t>(beyond - begin, 1);
+    return static_cast<std::uint16_t>(span.first + keys - 1);
+}
+
+void makeFirst(Plan& plan)
+{
+    std::uint32_t first = 0;
+    for (std::size_t index = 0; index < plan.servers.size() && first <= UINT16_MAX; ++index) {
+        Routing::KeySpan span { static_cast<std::uint16_t>(first), UINT16_MAX };
+        if (index + 1 < plan.servers.size())
+            span.last = lastKeyWithin(plan, span, shareOf(plan, plan.servers[index]));
+        plan.placements.push_back({ span, plan.servers[index].id });
+        first = static_cast<std::uint32_t>(span.last) + 1;
+    }
+}
+
+void countLoads(Plan& plan)
+{
+    plan.loads.clear();
+    for (const KeyPlacement& placement : plan.placements)
+        plan.loads[placement.holder] += loadOf(plan, placement.span);
+}
+
+const KeyServer& leastLoaded(const Plan& plan)
+{
+    return *std::min_element(
+        plan.servers.begin(), plan.servers.end(), [&](const KeyServer& one, const KeyServer& other) {
+            return ratioOf(plan, one) < ratioOf(plan, other);
+        });
+}
+
+const KeyServer& mostLoaded(const Plan& plan)
+{
+    return *std::max_element(
+        plan.servers.begin(), plan.servers.end(), [&](const KeyServer& one, const KeyServer& other) {
+            return ratioOf(plan, one) < ratioOf(plan, other);
+        });
+}
+
+bool isServer(const Plan& plan, const Utils::UpstreamId& id)
+{
+    return std::any_of(
+        plan.servers.begin(), plan.servers.end(), [&](const KeyServer& server) { return server.id == id; });
+}
+
+bool dealOrphans(Plan& plan)
+{
+    const double chunk = plan.total / (static_cast<double>(plan.servers.size()) * chunksEach);
+    std::vector<KeyPlacement> dealt;
+    bool changed = false;
+    for (const KeyPlacement& placement : plan.placements) {
+        if (isServer(plan, placement.holder)) {
+            dealt.push_back(placement);
+            continue;
+        }
+        changed = true;
+        Routing::KeySpan left = placement.span;
+        while (true) {
+            const Routing::KeySpan piece { left.first, lastKeyWithin(plan, left, chunk) };
+            const Utils::UpstreamId holder = leastLoaded(plan).id;
+            plan.loads[holder] += loadOf(plan, piece);
+            dealt.push_back({ piece, holder });
+            if (piece.last == left.last)
+                break;
+            left.first = static_cast<std::uint16_t>(piece.last + 1);
+        }
+    }
+    plan.placements = std::move(dealt);
+    return changed;
+}
+
+/// The donor's span with the most load; a span of one key can only move whole.
+std::size_t heaviestOf(const Plan& plan, const Utils::UpstreamId& donor)
+{
+    std::size_t heaviest = plan.placements.size();
+    for (std::size_t index = 0; index < plan.placements.size(); ++index) {
+        if (plan.placements[index].holder != donor)
+            continue;
+        const bool heavier = heaviest == plan.placements.size()
+            || loadOf(plan, plan.placements[index].span) > loadOf(plan, plan.placements[heaviest].span);
+        if (heavier)
+            heaviest = index;
+    }
+    return heaviest;
+}
+
+bool moveOne(Plan& plan)
+{
+    const KeyServer& donor = mostLoaded(plan);
+    const KeyServer& receiver = leastLoaded(plan);
+    const double use = plan.loads[donor.id] / donor.capacity;
+    const bool relieve = ratioOf(plan, donor) > ratioToRelieve && use > useToRelieve;
+    const bool fill = ratioOf(plan, receiver) < ratioToFill && ratioOf(plan, donor) > 1;
+    if (donor.id == receiver.id || (!relieve && !fill) || plan.placements.size() >= mostSegments)
+        return false;
+    const double excess = std::min(
+        plan.loads[donor.id] - shareOf(plan, donor), shareOf(plan, receiver) - plan.loads[receiver.id]);
+    const std::size_t index = heaviestOf(plan, donor.id);
+    if (index == plan.placements.size() || excess <= 0)
+        return false;
+    const Routing::KeySpan whole = plan.placements[index].span;
+    const Routing::KeySpan piece { whole.first, lastKeyWithin(plan, whole, excess) };
+    const double moved = loadOf(plan, piece);
+    const bool worse
+        = (plan.loads[receiver.id] + moved) / receiver.capacity >= plan.loads[donor.id] / donor.capacity;
+    if (worse)
+        return false;
+    plan.loads[donor.id] -= moved;
+    plan.loads[receiver.id] += moved;
+    plan.placements[index] = { piece, receiver.id };
+    if (piece.last != whole.last) {
+        const Routing::KeySpan rest { static_cast<std::uint16_t>(piece.last + 1), whole.last };
+        plan.placements.insert(
+            plan.placements.begin() + static_cast<std::ptrdiff_t>(index) + 1, { rest, donor.id });
+    }
+    return true;
+}
+
+void joinNeighbours(std::vector<KeyPlacement>& placements)
+{
+    std::vector<KeyPlacement> joined;
+    for (const KeyPlacement& placement : placements) {
+        if (!joined.empty() && joined.back().holder == placement.holder)
+            joined.back().span.last = placement.span.last;
+        else
+            joined.push_back(placement);
+    }
+    placements = std::move(joined);
+}
+
+} // namespace Internal
+
+std::optional<std::vector<KeyPlacement>> planPlacement(
+    const std::vector<KeyPlacement>& current, const std::vector<KeyServer>& servers, const KeyLoad& load)
+{
+    if (servers.empty())
+        return std::nullopt;
+    Internal::Plan plan;
+    plan.placements = current;
+    plan.servers = servers;
+    plan.before = Internal::sumsBefore(load);
+    plan.total = plan.before.back();
+    for (const KeyServer& server : servers)
+        plan.totalCapacity += server.capacity;
+    if (current.empty())
+        Internal::makeFirst(plan);
+    Internal::countLoads(plan);
+    Internal::dealOrphans(plan);
+    for (std::size_t moves = 0; moves < Internal::mostMovesAtOnce; ++moves) {
+        if (!Internal::moveOne(plan))
+            break;
+    }
+    Internal::joinNeighbours(plan.placements);
+    if (plan.placements == current)
+        return std::nullopt;
+    return plan.placements;
+}
+
+} // namespace Granting
--- /dev/null
+++ b/src/libs/granting/recordcodec.cpp
@@ -0,0 +1,120 @@
+#include <granting/recordcodec.h>
+#include <granting/recorderror.h>
+
+#include <boost/json.hpp>
+#include <boost/leaf/error.hpp>
+
+namespace Granting {
+
+namespace json = boost::json;
+namespace leaf = boost::leaf;
+
+namespace Internal {
+
+json::object encodeSegment(const Segment& segment)
+{
+    json::object object { { "first", segment.span.first }, { "last", segment.span.last },
+        { "holder", segment.holder.value }, { "settled", segment.settled }, { "token", segment.token } };
+    if (!segment.formers.empty()) {
+        json::array formers;
+        for (const Utils::UpstreamId& former : segment.formers)
+            formers.emplace_back(former.value);
+        object["formers"] = std::move(formers);
+    }
+    return object;
+}
+
+Segment decodeSegment(const json::object& object)
+{
+    Segment segment;
+    segment.span.first = json::value_to<std::uint16_t>(object.at("first"));
+    segment.span.last = json::value_to<std::uint16_t>(object.at("last"));
+    segment.holder.value = json::value_to<std::string>(object.at("holder"));
+    segment.settled = object.at("settled").as_bool();
+    segment.token = json::value_to<std::uint64_t>(object.at("token"));
+    if (const json::value* formers = object.if_contains("formers")) {
+        for (const json::value& former : formers->as_array())
+            segment.formers.push_back({ json::value_to<std::string>(former) });
+    }
+    return segment;
+}
+
+bool isConsistent(const std::vector<Segment>& segments)
+{
+    std::uint32_t next = 0;
+    for (const Segment& segment : segments) {
+        if (segment.span.first != next || segment.span.last < segment.span.first)
+            return false;
+        next = static_cast<std::uint32_t>(segment.span.last) + 1;
+    }
+    return segments.empty() || next == static_cast<std::uint32_t>(UINT16_MAX) + 1;
+}
+
+KeyAssignment assignmentIn(const json::object& object)
+{
+    KeyAssignment assignment;
+    assignment.service.value = json::value_to<std::string>(object.at("service"));
+    assignment.term = json::value_to<std::uint64_t>(object.at("term"));
+    assignment.version = json::value_to<std::uint64_t>(object.at("version"));
+    for (const json::value& segment : object.at("segments").as_array())
+        assignment.segments.push_back(decodeSegment(segment.as_object()));
+    return assignment;
+}
+
+LeaderRecord leaderIn(const json::object& object)
+{
+    LeaderRecord record;
+    record.vm.value = json::value_to<std::string>(object.at("vm"));
+    record.incarnation = json::value_to<std::uint64_t>(object.at("incarnation"));
+    record.reports.address = json::value_to<std::string>(object.at("address"));
+    record.reports.port = json::value_to<std::uint16_t>(object.at("port"));
+    return record;
+}
+
+/// Runs \a read on the object in \a text. Boost.JSON reports missing and mistyped fields by exceptions.
+template <typename Record>
+leaf::result<Record> readObject(std::string_view text, Record (*read)(const json::object&))
+{
+    json::error_code error;
+    const json::value value = json::parse(json::string_view(text.data(), text.size()), error);
+    if (error || !value.is_object())
+        return leaf::new_error(RecordError::Unreadable);
+    try {
+        return read(value.get_object());
+    } catch (const std::exception&) {
+        return leaf::new_error(RecordError::Unreadable);
+    }
+}
+
+} // namespace Internal
+
+std::string encodeLeader(const LeaderRecord& record)
+{
+    return json::serialize(json::object { { "vm", record.vm.value }, { "incarnation", record.incarnation },
+        { "address", record.reports.address }, { "port", record.reports.port } });
+}
+
+leaf::result<LeaderRecord> decodeLeader(std::string_view text)
+{
+    return Internal::readObject<LeaderRecord>(text, Internal::leaderIn);
+}
+
+std::string encodeAssignment(const KeyAssignment& assignment)
+{
+    json::array segments;
+    for (const Segment& segment : assignment.segments)
+        segments.emplace_back(Internal::encodeSegment(segment));
+    return json::serialize(
+        json::object { { "service", assignment.service.value }, { "term", assignment.term },
+            { "version", assignment.version }, { "segments", std::move(segments) } });
+}
+
+leaf::result<KeyAssignment> decodeAssignment(std::string_view text)
+{
+    BOOST_LEAF_AUTO(assignment, Internal::readObject<KeyAssignment>(text, Internal::assignmentIn));
+    if (!Internal::isConsistent(assignment.segments))
+        return leaf::new_error(RecordError::Inconsistent);
+    return assignment;
+}
+
+} // namespace Granting
--- /dev/null
+++ b/src/libs/granting/recorderror.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <utils/enumtable.h>
+
+#include <array>
+
+namespace Granting {
+
+/// Why a record of ours in the store could not be read.
+enum class RecordError {
+    Unreadable,
+    /// Segments overlap, leave gaps or are out of order.
+    Inconsistent,
+};
+
+inline constexpr std::array<Utils::EnumName<RecordError>, 2> recordErrorNames { {
+    { RecordError::Unreadable, "unreadable" },
+    { RecordError::Inconsistent, "inconsistent" },
+} };
+
+} // namespace Granting
--- /dev/null
+++ b/src/libs/granting/sentgrant.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <granting/grantaction.h>
+#include <utils/time.h>
+
+namespace Granting {
+
+/// When a call for a segment was last sent, and whether its answer is still awaited.
+struct SentGrant {
+    Utils::Instant at {};
+    bool waiting = false;
+};
+
+} // namespace Granting
--- /dev/null
+++ b/src/libs/granting/servicekeys.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <utils/ids.h>
+
+#include <cstdint>
+#include <map>
+
+namespace Granting {
+
+/// Requests for keys of one service since the last report.
+struct ServiceKeys {
+    Utils::ServiceId service;
+    std::map<std::uint16_t, std::uint16_t> counts;
+
+    bool operator==(const ServiceKeys&) const = default;
+};
+
+} // namespace Granting
--- a/src/libs/platform/adminclient.cpp
+++ b/src/libs/logservice/adminclient.cpp
@@ -1,11 +1,11 @@
-#include <platform/adminclient.h>
+#include <logservice/adminclient.h>
 
-#include <platform/httpcall.h>
-#include <platform/httpstatuscodes.h>
+#include <logservice/httpcall.h>
+#include <logservice/httpstatuscodes.h>
 
 #include <boost/leaf/error.hpp>
 
-namespace Platform {
+namespace LogService {
 
 namespace leaf = boost::leaf;
 
@@ -18,4 +18,4 @@
     return answer.body;
 }
 
-} // namespace Platform
+} // namespace LogService
--- a/src/libs/platform/answerfields.cpp
+++ b/src/libs/logservice/answerfields.cpp
@@ -1,9 +1,9 @@
-#include <platform/answerfields.h>
-#include <platform/platformerror.h>
+#include <logservice/answerfields.h>
+#include <logservice/platformerror.h>
 
 #include <boost/leaf/error.hpp>
 
-namespace Platform::Internal {
+namespace LogService::Internal {
 
 namespace json = boost::json;
 namespace leaf = boost::leaf;
@@ -44,4 +44,4 @@
     return value->if_array();
 }
 
-} // namespace Platform::Internal
+} // namespace LogService::Internal
--- a/src/libs/platform/answerfields.h
+++ b/src/libs/logservice/answerfields.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <platform/httpanswer.h>
+#include <logservice/httpanswer.h>
 
 #include <boost/json.hpp>
 #include <boost/leaf/result.hpp>
@@ -11,7 +11,7 @@
 
 /// Checked access to the JSON of an answer; each failure is PlatformError::Malformed. Fields that the
 /// contract does not name are passed over.
-namespace Platform::Internal {
+namespace LogService::Internal {
 
 boost::leaf::result<boost::json::object> parseAnswer(const HttpAnswer& answer);
 
@@ -24,4 +24,4 @@
 boost::leaf::result<const boost::json::array*> arrayIn(
     const boost::json::object& object, std::string_view name);
 
-} // namespace Platform::Internal
+} // namespace LogService::Internal
--- a/src/libs/platform/appendanswer.h
+++ b/src/libs/logservice/appendanswer.h
@@ -2,7 +2,7 @@
 
 #include <utils/ids.h>
 
-namespace Platform {
+namespace LogService {
 
 /// Where the log put a record.
 struct AppendAnswer {
@@ -11,4 +11,4 @@
     bool operator==(const AppendAnswer&) const = default;
 };
 
-} // namespace Platform
+} // namespace LogService
--- a/src/libs/platform/endpoint.h
+++ b/src/libs/logservice/endpoint.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <string>
 
-namespace Platform {
+namespace LogService {
 
 /// Where a service of the platform listens.
 struct Endpoint {
@@ -14,4 +14,4 @@
     bool operator==(const Endpoint&) const = default;
 };
 
-} // namespace Platform
+} // namespace LogService
--- a/src/libs/platform/httpanswer.h
+++ b/src/libs/logservice/httpanswer.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace Platform::Internal {
+namespace LogService::Internal {
 
 /// A whole answer.
 struct HttpAnswer {
@@ -10,4 +10,4 @@
     std::string body;
 };
 
-} // namespace Platform::Internal
+} // namespace LogService::Internal
--- a/src/libs/platform/httpcall.cpp
+++ b/src/libs/logservice/httpcall.cpp
@@ -1,6 +1,6 @@
-#include <platform/httpcall.h>
-#include <platform/platformconstants.h>
-#include <platform/platformerror.h>
+#include <logservice/httpcall.h>
+#include <logservice/platformconstants.h>
+#include <logservice/platformerror.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -16,7 +16,7 @@
 
 #include <optional>
 
-namespace Platform::Internal {
+namespace LogService::Internal {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -110,4 +110,4 @@
     return HttpAnswer { exchange.parser->get().result_int(), std::move(exchange.parser->get().body()) };
 }
 
-} // namespace Platform::Internal
+} // namespace LogService::Internal
--- a/src/libs/platform/httpcall.h
+++ b/src/libs/logservice/httpcall.h
@@ -1,19 +1,19 @@
 #pragma once
 
-#include <platform/endpoint.h>
-#include <platform/httpanswer.h>
-#include <platform/httpmethod.h>
+#include <logservice/endpoint.h>
+#include <logservice/httpanswer.h>
+#include <logservice/httpmethod.h>
 #include <utils/time.h>
 
 #include <boost/leaf/result.hpp>
 
 #include <string>
 
-namespace Platform::Internal {
+namespace LogService::Internal {
 
 /// One exchange on a connection of its own. Fails with a PlatformError; AnswerLost means that the request may
 /// have been acted on.
 boost::leaf::result<HttpAnswer> callHttp(const Endpoint& endpoint, HttpMethod method,
     const std::string& target, const std::string& body, Utils::Duration timeout);
 
-} // namespace Platform::Internal
+} // namespace LogService::Internal
--- a/src/libs/platform/httpmethod.h
+++ b/src/libs/logservice/httpmethod.h
@@ -1,8 +1,8 @@
 #pragma once
 
-namespace Platform::Internal {
+namespace LogService::Internal {
 
 /// The methods that the platform's services use.
 enum class HttpMethod { Get, Post };
 
-} // namespace Platform::Internal
+} // namespace LogService::Internal
--- a/src/libs/platform/httpstatus.h
+++ b/src/libs/logservice/httpstatus.h
@@ -1,10 +1,10 @@
 #pragma once
 
-namespace Platform {
+namespace LogService {
 
 /// The status of an answer, next to an error.
 struct HttpStatus {
     unsigned value = 0;
 };
 
-} // namespace Platform
+} // namespace LogService
--- a/src/libs/platform/httpstatuscodes.h
+++ b/src/libs/logservice/httpstatuscodes.h
@@ -1,10 +1,10 @@
 #pragma once
 
-namespace Platform::Internal {
+namespace LogService::Internal {
 
 inline constexpr unsigned statusOk = 200;
 inline constexpr unsigned statusGone = 410;
 inline constexpr unsigned statusTooLarge = 413;
 inline constexpr unsigned statusUnavailable = 503;
 
-} // namespace Platform::Internal
+} // namespace LogService::Internal
--- a/src/libs/platform/keptrange.h
+++ b/src/libs/logservice/keptrange.h
@@ -2,7 +2,7 @@
 
 #include <utils/ids.h>
 
-namespace Platform {
+namespace LogService {
 
 /// What the log keeps.
 struct KeptRange {
@@ -14,4 +14,4 @@
     bool operator==(const KeptRange&) const = default;
 };
 
-} // namespace Platform
+} // namespace LogService
--- a/src/libs/platform/logclient.cpp
+++ b/src/libs/logservice/logclient.cpp
@@ -1,8 +1,8 @@
-#include <platform/answerfields.h>
-#include <platform/httpcall.h>
-#include <platform/httpstatuscodes.h>
-#include <platform/logclient.h>
-#include <platform/platformconstants.h>
+#include <logservice/answerfields.h>
+#include <logservice/httpcall.h>
+#include <logservice/httpstatuscodes.h>
+#include <logservice/logclient.h>
+#include <logservice/platformconstants.h>
 
 #include <boost/leaf/error.hpp>
 
@@ -10,7 +10,7 @@
 #include <cctype>
 #include <limits>
 
-namespace Platform {
+namespace LogService {
 
 namespace leaf = boost::leaf;
 
@@ -142,4 +142,4 @@
     return Internal::readAnswerFrom(answer, from, bounded);
 }
 
-} // namespace Platform
+} // namespace LogService
--- a/src/libs/platform/logclient.h
+++ b/src/libs/logservice/logclient.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <platform/appendanswer.h>
-#include <platform/httpstatus.h>
-#include <platform/keptrange.h>
-#include <platform/logendpoint.h>
-#include <platform/platformerror.h>
-#include <platform/readanswer.h>
+#include <logservice/appendanswer.h>
+#include <logservice/httpstatus.h>
+#include <logservice/keptrange.h>
+#include <logservice/logendpoint.h>
+#include <logservice/platformerror.h>
+#include <logservice/readanswer.h>
 #include <utils/time.h>
 
 #include <boost/leaf/result.hpp>
@@ -15,7 +15,7 @@
 
 /// The log service. Calls block the calling thread for at most their timeout, each on a connection of its
 /// own, so that one gone silent can't hold up the next. Failures are a PlatformError.
-namespace Platform {
+namespace LogService {
 
 /// Appends \a text. After AnswerLost it may have taken effect: send it again unchanged, the fold ignores a
 /// repeat.
@@ -27,4 +27,4 @@
 boost::leaf::result<ReadAnswer> readRecords(const LogEndpoint& endpoint, Utils::Offset from,
     std::size_t limit, Utils::Duration wait, Utils::Duration timeout);
 
-} // namespace Platform
+} // namespace LogService
--- a/src/libs/platform/logendpoint.h
+++ b/src/libs/logservice/logendpoint.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <platform/endpoint.h>
+#include <logservice/endpoint.h>
 
 #include <string>
 
-namespace Platform {
+namespace LogService {
 
 /// One stream of the log service.
 struct LogEndpoint {
@@ -15,4 +15,4 @@
     bool operator==(const LogEndpoint&) const = default;
 };
 
-} // namespace Platform
+} // namespace LogService
--- a/src/libs/platform/platformconstants.h
+++ b/src/libs/logservice/platformconstants.h
@@ -2,7 +2,7 @@
 
 #include <cstddef>
 
-namespace Platform {
+namespace LogService {
 
 /// Largest record that the log service takes.
 inline constexpr std::size_t maxRecordBytes = std::size_t(1) << 20;
@@ -17,4 +17,4 @@
 /// Longest name of a stream, VM, zone or region.
 inline constexpr std::size_t maxNameBytes = 256;
 
-} // namespace Platform
+} // namespace LogService
--- a/src/libs/platform/platformerror.h
+++ b/src/libs/logservice/platformerror.h
@@ -4,7 +4,7 @@
 
 #include <array>
 
-namespace Platform {
+namespace LogService {
 
 /// Why a call to the platform failed. Each has a counter.
 enum class PlatformError {
@@ -43,4 +43,4 @@
     { PlatformError::UnexpectedStatus, "unexpected_status" },
 } };
 
-} // namespace Platform
+} // namespace LogService
--- a/src/libs/platform/readanswer.h
+++ b/src/libs/logservice/readanswer.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <agreement/logrecord.h>
-#include <platform/keptrange.h>
+#include <logservice/keptrange.h>
 
 #include <vector>
 
-namespace Platform {
+namespace LogService {
 
 /// Records from the log, in order and without gaps. Both ends of the range may lag.
 struct ReadAnswer {
@@ -15,4 +15,4 @@
     bool operator==(const ReadAnswer&) const = default;
 };
 
-} // namespace Platform
+} // namespace LogService
--- a/src/libs/platform/vmentry.h
+++ b/src/libs/logservice/vmentry.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <platform/vmstate.h>
+#include <logservice/vmstate.h>
 #include <utils/ids.h>
 
 #include <cstdint>
 #include <string>
 
-namespace Platform {
+namespace LogService {
 
 /// One VM on the platform's list, which lags.
 struct VmEntry {
@@ -24,4 +24,4 @@
     bool operator==(const VmEntry&) const = default;
 };
 
-} // namespace Platform
+} // namespace LogService
--- a/src/libs/platform/vmlistclient.cpp
+++ b/src/libs/logservice/vmlistclient.cpp
@@ -1,8 +1,8 @@
-#include <platform/answerfields.h>
-#include <platform/httpcall.h>
-#include <platform/httpstatuscodes.h>
-#include <platform/platformconstants.h>
-#include <platform/vmlistclient.h>
+#include <logservice/answerfields.h>
+#include <logservice/httpcall.h>
+#include <logservice/httpstatuscodes.h>
+#include <logservice/platformconstants.h>
+#include <logservice/vmlistclient.h>
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/leaf/error.hpp>
@@ -10,7 +10,7 @@
 #include <limits>
 #include <set>
 
-namespace Platform {
+namespace LogService {
 
 namespace leaf = boost::leaf;
 
@@ -87,4 +87,4 @@
     return Internal::vmEntriesFrom(answer);
 }
 
-} // namespace Platform
+} // namespace LogService
--- a/src/libs/platform/vmstate.h
+++ b/src/libs/logservice/vmstate.h
@@ -4,7 +4,7 @@
 
 #include <array>
 
-namespace Platform {
+namespace LogService {
 
 /// What the platform says of a VM.
 enum class VmState { Live, Leaving };
@@ -14,4 +14,4 @@
     { VmState::Leaving, "leaving" },
 } };
 
-} // namespace Platform
+} // namespace LogService
--- /dev/null
+++ b/src/libs/platform/appendterms.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <utils/ids.h>
+
+#include <optional>
+#include <string>
+
+namespace Platform {
+
+/// On which condition records are added.
+struct AppendTerms {
+    std::string topic;
+    /// Only if the partition ends here.
+    std::optional<Utils::Offset> onlyAtEnd;
+};
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/platform/endpointtext.cpp
@@ -0,0 +1,27 @@
+#include <platform/decodeerror.h>
+#include <platform/endpointtext.h>
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/leaf/error.hpp>
+
+#include <charconv>
+
+namespace Platform {
+
+boost::leaf::result<Routing::Endpoint> parseEndpoint(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return boost::leaf::new_error(DecodeError::OutOfRange);
+    const std::string_view portText = text.substr(colon + 1);
+    std::uint16_t port = 0;
+    const std::from_chars_result end
+        = std::from_chars(portText.data(), portText.data() + portText.size(), port);
+    boost::system::error_code badAddress;
+    boost::asio::ip::make_address_v4(std::string(text.substr(0, colon)), badAddress);
+    if (badAddress || end.ec != std::errc() || end.ptr != portText.data() + portText.size() || port == 0)
+        return boost::leaf::new_error(DecodeError::OutOfRange);
+    return Routing::Endpoint { std::string(text.substr(0, colon)), port };
+}
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/platform/headernames.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <string_view>
+
+/// Names of the platform's headers. Outside this library they are known by what they hold.
+namespace Platform::Internal {
+
+inline constexpr std::string_view requestIdHeader = "X-Request-Id";
+inline constexpr std::string_view deadlineHeader = "X-Deadline-Ms";
+inline constexpr std::string_view stampHeader = "X-Server-Stamp";
+inline constexpr std::string_view expectedServerHeader = "X-Expect-Instance";
+inline constexpr std::string_view loadHeader = "X-Server-Load";
+inline constexpr std::string_view notRunHeader = "X-Not-Executed";
+inline constexpr std::string_view serverIdHeader = "X-Instance-Id";
+inline constexpr std::string_view keyHeader = "X-Shard-Key";
+inline constexpr std::string_view handoverHeader = "X-Handover";
+inline constexpr std::string_view keepAliveHeader = "Keep-Alive";
+
+} // namespace Platform::Internal
--- /dev/null
+++ b/src/libs/platform/jsonfields.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <utils/time.h>
+
+#include <boost/json.hpp>
+#include <boost/leaf/result.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/// Checked access to JSON fields. Each failure is a DecodeError with the FieldName.
+namespace Platform::Internal {
+
+boost::leaf::result<boost::json::object> parseObject(std::string_view text);
+
+boost::leaf::result<const boost::json::object*> objectIn(
+    const boost::json::object& object, std::string_view name);
+
+boost::leaf::result<const boost::json::array*> arrayIn(
+    const boost::json::object& object, std::string_view name);
+
+/// Text that is not empty.
+boost::leaf::result<std::string> textIn(const boost::json::object& object, std::string_view name);
+
+/// A whole number from 0 on.
+boost::leaf::result<std::uint64_t> numberIn(const boost::json::object& object, std::string_view name);
+
+boost::leaf::result<Utils::Duration> timeIn(const boost::json::object& object, std::string_view name);
+
+/// False where the field is absent.
+boost::leaf::result<bool> flagIn(const boost::json::object& object, std::string_view name);
+
+} // namespace Platform::Internal
--- /dev/null
+++ b/src/libs/platform/servertold.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <routing/toldload.h>
+#include <utils/ids.h>
+#include <utils/time.h>
+
+#include <optional>
+#include <string>
+
+namespace Platform {
+
+/// What a server said of itself and the request beside its answer.
+struct ServerTold {
+    /// The id that it echoes; empty if it gave none.
+    Utils::RequestId requestId;
+    /// It states that the request has not run.
+    bool notRun = false;
+    std::optional<Routing::ToldLoad> load;
+    /// How long it keeps the connection open without use.
+    std::optional<Utils::Duration> keepAlive;
+    /// Proof of work on released keys, for their next holder.
+    std::string handover;
+    /// Whether the answer bears the server's signature.
+    bool stamped = false;
+};
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/platform/storecalls.cpp
@@ -0,0 +1,219 @@
+#include <platform/decodeerror.h>
+#include <platform/fieldname.h>
+#include <platform/jsonfields.h>
+#include <platform/storecalls.h>
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <boost/endian/conversion.hpp>
+#include <boost/leaf/error.hpp>
+
+namespace Platform {
+
+namespace http = boost::beast::http;
+namespace json = boost::json;
+namespace leaf = boost::leaf;
+
+namespace Internal {
+
+constexpr std::size_t lengthBytes = 4;
+constexpr std::size_t offsetBytes = 8;
+constexpr int httpVersion = 11;
+/// All our records lie in the only partition of a topic.
+constexpr std::string_view onlyPartition = "&part=0";
+
+HttpRequest makeCall(http::verb verb, const Routing::Endpoint& store, const std::string& target)
+{
+    HttpRequest request(verb, target, httpVersion);
+    request.set(http::field::host, store.address + ":" + std::to_string(store.port));
+    return request;
+}
+
+std::string targetOf(std::string_view path, std::string_view topic)
+{
+    return std::string(path).append("?topic=").append(topic).append(onlyPartition);
+}
+
+std::string urlEncoded(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char character : text) {
+        const unsigned char byte = static_cast<unsigned char>(character);
+        if (std::isalnum(byte) != 0 || character == '-' || character == '_' || character == '.') {
+            encoded += character;
+            continue;
+        }
+        encoded += '%';
+        encoded += digits[byte >> 4];
+        encoded += digits[byte & 15];
+    }
+    return encoded;
+}
+
+leaf::error_id unreadable() { return leaf::new_error(DecodeError::Unreadable, FieldName { "records" }); }
+
+template <typename Number> Number bigEndian(std::string_view bytes)
+{
+    return boost::endian::load_big_u64(reinterpret_cast<const unsigned char*>(bytes.data()));
+}
+
+std::uint32_t lengthAt(std::string_view bytes)
+{
+    return boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(bytes.data()));
+}
+
+/// A keyed record that makes no sense is passed on without a key, so that offsets stay right.
+StoreRecord splitKeyed(std::string_view bytes, Utils::Offset offset)
+{
+    StoreRecord record { offset, {}, std::nullopt };
+    if (bytes.empty())
+        return record;
+    const std::size_t keyBytes = static_cast<unsigned char>(bytes.front());
+    if (bytes.size() < 1 + keyBytes)
+        return record;
+    record.key = std::string(bytes.substr(1, keyBytes));
+    if (bytes.size() > 1 + keyBytes)
+        record.value = std::string(bytes.substr(1 + keyBytes));
+    return record;
+}
+
+leaf::result<std::string> decodeBase64(std::string_view text)
+{
+    namespace base64 = boost::beast::detail::base64;
+    std::string bytes(base64::decoded_size(text.size()), '\0');
+    const std::pair<std::size_t, std::size_t> sizes = base64::decode(bytes.data(), text.data(), text.size());
+    bytes.resize(sizes.first);
+    return bytes;
+}
+
+leaf::result<StoreRecord> decodeItem(const json::value& item)
+{
+    if (!item.is_object())
+        return unreadable();
+    const json::object& object = item.get_object();
+    StoreRecord record;
+    BOOST_LEAF_ASSIGN(record.key, textIn(object, "key"));
+    BOOST_LEAF_ASSIGN(record.offset, numberIn(object, "offset"));
+    const json::value* value = object.if_contains("value");
+    if (!value || !value->is_string())
+        return record;
+    BOOST_LEAF_AUTO(bytes, decodeBase64(std::string_view(value->get_string())));
+    record.value = std::move(bytes);
+    return record;
+}
+
+} // namespace Internal
+
+HttpRequest readCall(
+    const Routing::Endpoint& store, std::string_view topic, Utils::Offset from, Utils::Duration wait)
+{
+    std::string target = Internal::targetOf("/log-read", topic) + "&from=" + std::to_string(from);
+    if (wait > Utils::Duration::zero())
+        target += "&wait_ms=" + std::to_string(Utils::toMilliseconds(wait));
+    return Internal::makeCall(http::verb::get, store, target);
+}
+
+HttpRequest newestCall(const Routing::Endpoint& store, std::string_view topic, std::string_view after)
+{
+    std::string target = Internal::targetOf("/log-newest", topic);
+    if (!after.empty())
+        target += "&after=" + Internal::urlEncoded(after);
+    return Internal::makeCall(http::verb::get, store, target);
+}
+
+HttpRequest appendCall(
+    const Routing::Endpoint& store, const AppendTerms& terms, const std::vector<std::string>& records)
+{
+    std::string target = Internal::targetOf("/log-append", terms.topic);
+    if (terms.onlyAtEnd)
+        target += "&as_of=" + std::to_string(*terms.onlyAtEnd);
+    HttpRequest request = Internal::makeCall(http::verb::post, store, target);
+    for (const std::string& record : records) {
+        std::string length(Internal::lengthBytes, '\0');
+        boost::endian::store_big_u32(
+            reinterpret_cast<unsigned char*>(length.data()), static_cast<std::uint32_t>(record.size()));
+        request.body().append(length).append(record);
+    }
+    request.prepare_payload();
+    return request;
+}
+
+std::string keyedRecord(std::string_view key, std::string_view value)
+{
+    std::string record(1, static_cast<char>(static_cast<unsigned char>(key.size())));
+    return record.append(key).append(value);
+}
+
+StoreOutcome outcomeOfStatus(unsigned status)
+{
+    switch (status) {
+    case 200:
+        return StoreOutcome::Done;
+    case 409:
+        return StoreOutcome::Fenced;
+    case 410:
+        return StoreOutcome::Expired;
+    case 412:
+        return StoreOutcome::EndMoved;
+    case 429:
+    case 503:
+    case 507:
+        return StoreOutcome::Refused;
+    default:
+        return StoreOutcome::Malformed;
+    }
+}
+
+bool isKeyed(std::string_view topic) { return topic.starts_with("keyed."); }
+
+leaf::result<StorePage> decodeRead(std::string_view body, Utils::Offset from, bool keyed)
+{
+    if (body.size() < 2 * Internal::offsetBytes)
+        return Internal::unreadable();
+    StorePage page;
+    page.end = Internal::bigEndian<Utils::Offset>(body);
+    page.firstKept = Internal::bigEndian<Utils::Offset>(body.substr(Internal::offsetBytes));
+    body.remove_prefix(2 * Internal::offsetBytes);
+    for (Utils::Offset offset = from; !body.empty(); ++offset) {
+        if (body.size() < Internal::lengthBytes)
+            return Internal::unreadable();
+        const std::uint32_t length = Internal::lengthAt(body);
+        body.remove_prefix(Internal::lengthBytes);
+        if (body.size() < length)
+            return Internal::unreadable();
+        const std::string_view bytes = body.substr(0, length);
+        page.records.push_back(
+            keyed ? Internal::splitKeyed(bytes, offset) : StoreRecord { offset, {}, std::string(bytes) });
+        body.remove_prefix(length);
+    }
+    return page;
+}
+
+leaf::result<StorePage> decodeNewest(std::string_view body)
+{
+    BOOST_LEAF_AUTO(object, Internal::parseObject(body));
+    StorePage page;
+    BOOST_LEAF_ASSIGN(page.end, Internal::numberIn(object, "end"));
+    BOOST_LEAF_ASSIGN(page.more, Internal::flagIn(object, "more"));
+    BOOST_LEAF_AUTO(items, Internal::arrayIn(object, "items"));
+    for (const json::value& item : *items) {
+        BOOST_LEAF_AUTO(record, Internal::decodeItem(item));
+        page.records.push_back(std::move(record));
+    }
+    return page;
+}
+
+leaf::result<Utils::Offset> decodeAppend(std::string_view body)
+{
+    BOOST_LEAF_AUTO(object, Internal::parseObject(body));
+    return Internal::numberIn(object, "offset");
+}
+
+leaf::result<Utils::Offset> decodeFirstKept(std::string_view body)
+{
+    BOOST_LEAF_AUTO(object, Internal::parseObject(body));
+    return Internal::numberIn(object, "first");
+}
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/platform/upstreamdecoder.cpp
@@ -0,0 +1,53 @@
+#include <platform/decodeerror.h>
+#include <platform/endpointtext.h>
+#include <platform/fieldname.h>
+#include <platform/jsonfields.h>
+#include <platform/upstreamdecoder.h>
+
+#include <boost/leaf/error.hpp>
+
+namespace Platform {
+
+namespace json = boost::json;
+namespace leaf = boost::leaf;
+
+namespace Internal {
+
+/// More slots than any server has; larger figures are taken for mistakes.
+constexpr std::uint64_t mostSlots = 4096;
+
+leaf::result<bool> decodeDraining(const json::object& status)
+{
+    BOOST_LEAF_AUTO(state, textIn(status, "state"));
+    if (state != "ready" && state != "draining")
+        return leaf::new_error(DecodeError::UnknownWord, FieldName { "state" });
+    return state == "draining";
+}
+
+} // namespace Internal
+
+leaf::result<Routing::UpstreamRecord> decodeUpstream(std::string_view id, std::string_view text)
+{
+    BOOST_LEAF_AUTO(object, Internal::parseObject(text));
+    Routing::UpstreamRecord record;
+    record.id = { std::string(id) };
+    BOOST_LEAF_AUTO(address, Internal::textIn(object, "address"));
+    BOOST_LEAF_ASSIGN(record.endpoint, parseEndpoint(address));
+    BOOST_LEAF_AUTO(info, Internal::objectIn(object, "info"));
+    BOOST_LEAF_ASSIGN(record.service.value, Internal::textIn(*info, "service"));
+    BOOST_LEAF_ASSIGN(record.zone.value, Internal::textIn(*info, "zone"));
+    BOOST_LEAF_AUTO(slots, Internal::numberIn(*info, "slots"));
+    if (slots == 0 || slots > Internal::mostSlots)
+        return leaf::new_error(DecodeError::OutOfRange, FieldName { "slots" });
+    record.slots = static_cast<unsigned>(slots);
+    BOOST_LEAF_AUTO(status, Internal::objectIn(object, "status"));
+    BOOST_LEAF_ASSIGN(record.draining, Internal::decodeDraining(*status));
+    BOOST_LEAF_ASSIGN(record.sequence, Internal::numberIn(*status, "seq_no"));
+    BOOST_LEAF_ASSIGN(record.coldLeft, Internal::timeIn(*status, "cold_left"));
+    if (object.if_contains("born")) {
+        BOOST_LEAF_ASSIGN(record.bornMs, Internal::numberIn(object, "born"));
+    }
+    return record;
+}
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/routing/configuration.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <routing/callerlimits.h>
+#include <routing/route.h>
+#include <routing/service.h>
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace Routing {
+
+/// One version of what operators declare, complete.
+struct Configuration {
+    std::uint64_t version = 0;
+    CallerLimits limits;
+    std::vector<Route> routes;
+    std::map<Utils::ServiceId, Service> services;
+
+    bool operator==(const Configuration&) const = default;
+};
+
+} // namespace Routing
--- /dev/null
+++ b/src/libs/routing/routepart.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <utils/ids.h>
+
+namespace Routing {
+
+/// One destination of a route and its share of the route's requests.
+struct RoutePart {
+    Utils::ServiceId service;
+    unsigned weight = 1;
+
+    bool operator==(const RoutePart&) const = default;
+};
+
+} // namespace Routing
--- /dev/null
+++ b/src/libs/routing/toldload.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace Routing {
+
+/// The load that an upstream tells with an answer.
+struct ToldLoad {
+    unsigned running = 0;
+    unsigned waiting = 0;
+    unsigned slots = 1;
+
+    bool operator==(const ToldLoad&) const = default;
+};
+
+} // namespace Routing
--- /dev/null
+++ b/src/libs/routing/upstreamdirectory.cpp
@@ -0,0 +1,94 @@
+#include <routing/upstreamdirectory.h>
+
+#include <algorithm>
+
+namespace Routing {
+
+namespace Internal {
+
+bool isOlder(const UpstreamRecord& report, const UpstreamRecord& known)
+{
+    if (report.bornMs != known.bornMs)
+        return report.bornMs < known.bornMs;
+    return report.sequence <= known.sequence;
+}
+
+DirectoryChange changeBetween(const DirectoryEntry& known, const UpstreamRecord& report)
+{
+    if (known.record.bornMs != report.bornMs || known.record.endpoint != report.endpoint)
+        return DirectoryChange::Reborn;
+    if (known.gone)
+        return report.draining ? DirectoryChange::StartedDraining : DirectoryChange::Added;
+    if (known.record.draining == report.draining)
+        return DirectoryChange::None;
+    return report.draining ? DirectoryChange::StartedDraining : DirectoryChange::Returned;
+}
+
+} // namespace Internal
+
+DirectoryChange applyReport(
+    UpstreamDirectory& directory, const UpstreamRecord& record, Utils::Offset offset, Utils::Instant now)
+{
+    const auto found = directory.entries.find(record.id);
+    if (found == directory.entries.end()) {
+        directory.entries.emplace(record.id, DirectoryEntry { record, offset, now, std::nullopt, false });
+        return DirectoryChange::Added;
+    }
+    DirectoryEntry& known = found->second;
+    if (offset <= known.offset || Internal::isOlder(record, known.record))
+        return DirectoryChange::None;
+    const DirectoryChange change = Internal::changeBetween(known, record);
+    known = DirectoryEntry { record, offset, now, std::nullopt, false };
+    return change;
+}
+
+DirectoryChange applyRemoval(
+    UpstreamDirectory& directory, const Utils::UpstreamId& id, Utils::Offset offset, Utils::Instant now)
+{
+    const auto found = directory.entries.find(id);
+    if (found == directory.entries.end())
+        return DirectoryChange::None;
+    DirectoryEntry& known = found->second;
+    if (offset <= known.offset || known.gone || known.missingSince)
+        return DirectoryChange::None;
+    known.offset = offset;
+    known.missingSince = now;
+    known.gone = known.record.draining || now >= directory.disturbedUntil;
+    return known.gone ? DirectoryChange::Removed : DirectoryChange::None;
+}
+
+void noteDisturbance(UpstreamDirectory& directory, Utils::Instant now)
+{
+    directory.disturbedUntil = std::max(directory.disturbedUntil, now + returnGrace);
+}
+
+std::vector<Utils::UpstreamId> expireMissing(UpstreamDirectory& directory, Utils::Instant now)
+{
+    std::vector<Utils::UpstreamId> expired;
+    for (auto it = directory.entries.begin(); it != directory.entries.end();) {
+        DirectoryEntry& entry = it->second;
+        if (!entry.missingSince) {
+            ++it;
+            continue;
+        }
+        if (!entry.gone && now >= std::max(directory.disturbedUntil, *entry.missingSince)) {
+            entry.gone = true;
+            expired.push_back(it->first);
+        }
+        if (entry.gone && now - *entry.missingSince > goneMemory)
+            it = directory.entries.erase(it);
+        else
+            ++it;
+    }
+    return expired;
+}
+
+bool isUsable(const DirectoryEntry& entry) { return !entry.gone && !entry.record.draining; }
+
+const DirectoryEntry* findUsable(const UpstreamDirectory& directory, const Utils::UpstreamId& id)
+{
+    const auto found = directory.entries.find(id);
+    return found != directory.entries.end() && isUsable(found->second) ? &found->second : nullptr;
+}
+
+} // namespace Routing
--- a/tests/auto/platform/platformfixture.h
+++ b/tests/auto/logservice/platformfixture.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <platform/platformerror.h>
+#include <logservice/platformerror.h>
 
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/leaf/result.hpp>
@@ -19,8 +19,8 @@
             BOOST_LEAF_CHECK(call());
             return std::string("ok");
         },
-        [](Platform::PlatformError error) {
-            return std::string(Utils::enumName(Platform::platformErrorNames, error));
+        [](LogService::PlatformError error) {
+            return std::string(Utils::enumName(LogService::platformErrorNames, error));
         },
         [] { return std::string("untyped"); });
 }
--- a/tests/auto/platform/tst_logclient.cpp
+++ b/tests/auto/logservice/tst_logclient.cpp
@@ -1,7 +1,7 @@
 #include "platformfixture.h"
 
-#include <platform/logclient.h>
-#include <platform/platformconstants.h>
+#include <logservice/logclient.h>
+#include <logservice/platformconstants.h>
 #include <standins/log/logservice.h>
 #include <standins/support/backgroundserver.h>
 
@@ -42,7 +42,7 @@
     boost::asio::io_context context { 1 };
     StandInLog::LogService service { context };
     std::optional<StandInSupport::BackgroundServer> server;
-    Platform::LogEndpoint endpoint;
+    LogService::LogEndpoint endpoint;
 };
 
 struct FaultRow {
@@ -85,8 +85,8 @@
     const FaultRow row = GENERATE(from_range(faultRows()));
     INFO(row.name);
     LogFixture log(row.faults);
-    REQUIRE(
-        outcomeOf([&] { return Platform::appendRecord(log.endpoint, "four", 300ms); }) == row.appendOutcome);
+    REQUIRE(outcomeOf([&] { return LogService::appendRecord(log.endpoint, "four", 300ms); })
+        == row.appendOutcome);
     REQUIRE(log.stopAndCount() == row.recordsAfterAppend);
 }
 
@@ -95,22 +95,22 @@
     const FaultRow row = GENERATE(from_range(faultRows()));
     INFO(row.name);
     LogFixture log(row.faults);
-    REQUIRE(
-        outcomeOf([&] { return Platform::readRecords(log.endpoint, 1, 10, 0ms, 300ms); }) == row.readOutcome);
+    REQUIRE(outcomeOf([&] { return LogService::readRecords(log.endpoint, 1, 10, 0ms, 300ms); })
+        == row.readOutcome);
 }
 
 TEST_CASE("an appended record is read back", "[logclient]")
 {
     LogFixture log;
     const std::string text = "quote \" and \xc5\x82 and \n";
-    const boost::leaf::result<Platform::AppendAnswer> appended
-        = Platform::appendRecord(log.endpoint, text, 2s);
+    const boost::leaf::result<LogService::AppendAnswer> appended
+        = LogService::appendRecord(log.endpoint, text, 2s);
     REQUIRE(appended.has_value());
     REQUIRE(appended->offset == 4);
-    const boost::leaf::result<Platform::ReadAnswer> read
-        = Platform::readRecords(log.endpoint, 3, 10, 0ms, 2s);
+    const boost::leaf::result<LogService::ReadAnswer> read
+        = LogService::readRecords(log.endpoint, 3, 10, 0ms, 2s);
     REQUIRE(read.has_value());
-    REQUIRE(read->kept == Platform::KeptRange { 1, 5 });
+    REQUIRE(read->kept == LogService::KeptRange { 1, 5 });
     REQUIRE(read->records.size() == 2);
     REQUIRE(read->records[1].data == text);
 }
@@ -119,12 +119,12 @@
 {
     LogFixture log;
     std::thread reader([&] {
-        const boost::leaf::result<Platform::ReadAnswer> read
-            = Platform::readRecords(log.endpoint, 4, 10, 10s, 20s);
+        const boost::leaf::result<LogService::ReadAnswer> read
+            = LogService::readRecords(log.endpoint, 4, 10, 10s, 20s);
         CHECK((read.has_value() && read->records.size() == 1));
     });
-    const boost::leaf::result<Platform::AppendAnswer> appended
-        = Platform::appendRecord(log.endpoint, "four", 2s);
+    const boost::leaf::result<LogService::AppendAnswer> appended
+        = LogService::appendRecord(log.endpoint, "four", 2s);
     reader.join();
     REQUIRE(appended.has_value());
 }
@@ -132,13 +132,13 @@
 TEST_CASE("a lagging read hides the newest records and nothing else", "[logclient]")
 {
     LogFixture log(fault(&StandInLog::LogFaults::lagRecords, 2));
-    const boost::leaf::result<Platform::ReadAnswer> read
-        = Platform::readRecords(log.endpoint, 1, 10, 0ms, 2s);
+    const boost::leaf::result<LogService::ReadAnswer> read
+        = LogService::readRecords(log.endpoint, 1, 10, 0ms, 2s);
     REQUIRE(read.has_value());
-    REQUIRE(read->kept == Platform::KeptRange { 1, 2 });
+    REQUIRE(read->kept == LogService::KeptRange { 1, 2 });
     REQUIRE(read->records.size() == 1);
-    const boost::leaf::result<Platform::ReadAnswer> ahead
-        = Platform::readRecords(log.endpoint, 4, 10, 0ms, 2s);
+    const boost::leaf::result<LogService::ReadAnswer> ahead
+        = LogService::readRecords(log.endpoint, 4, 10, 0ms, 2s);
     REQUIRE(ahead.has_value());
     REQUIRE(ahead->records.empty());
 }
@@ -147,32 +147,32 @@
 {
     LogFixture log;
     log.service.options.retentionCount = 1;
-    const Platform::KeptRange kept = boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<Platform::KeptRange> {
-            BOOST_LEAF_CHECK(Platform::readRecords(log.endpoint, 1, 10, 0ms, 2s));
-            return Platform::KeptRange {};
+    const LogService::KeptRange kept = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<LogService::KeptRange> {
+            BOOST_LEAF_CHECK(LogService::readRecords(log.endpoint, 1, 10, 0ms, 2s));
+            return LogService::KeptRange {};
         },
-        [](Platform::PlatformError error, const Platform::KeptRange& range) {
-            return error == Platform::PlatformError::Expired ? range : Platform::KeptRange {};
+        [](LogService::PlatformError error, const LogService::KeptRange& range) {
+            return error == LogService::PlatformError::Expired ? range : LogService::KeptRange {};
         },
-        [] { return Platform::KeptRange {}; });
-    REQUIRE(kept == Platform::KeptRange { 3, 4 });
+        [] { return LogService::KeptRange {}; });
+    REQUIRE(kept == LogService::KeptRange { 3, 4 });
 }
 
 TEST_CASE("calls that can't be made have no effect", "[logclient]")
 {
     LogFixture log;
-    const std::string tooLong(Platform::maxRecordBytes + 1, 'x');
+    const std::string tooLong(LogService::maxRecordBytes + 1, 'x');
     REQUIRE(
-        outcomeOf([&] { return Platform::appendRecord(log.endpoint, tooLong, 2s); }) == "record_too_large");
-    Platform::LogEndpoint wrong = log.endpoint;
+        outcomeOf([&] { return LogService::appendRecord(log.endpoint, tooLong, 2s); }) == "record_too_large");
+    LogService::LogEndpoint wrong = log.endpoint;
     wrong.stream = "a/b";
-    REQUIRE(outcomeOf([&] { return Platform::appendRecord(wrong, "x", 2s); }) == "bad_endpoint");
+    REQUIRE(outcomeOf([&] { return LogService::appendRecord(wrong, "x", 2s); }) == "bad_endpoint");
     wrong = log.endpoint;
     wrong.service.address = "localhost";
-    REQUIRE(outcomeOf([&] { return Platform::appendRecord(wrong, "x", 2s); }) == "bad_endpoint");
+    REQUIRE(outcomeOf([&] { return LogService::appendRecord(wrong, "x", 2s); }) == "bad_endpoint");
     REQUIRE(log.stopAndCount() == 3);
-    REQUIRE(outcomeOf([&] { return Platform::appendRecord(log.endpoint, "x", 2s); }) == "unreachable");
+    REQUIRE(outcomeOf([&] { return LogService::appendRecord(log.endpoint, "x", 2s); }) == "unreachable");
 }
 
 TEST_CASE("an answer outside the contract is malformed", "[logclient]")
@@ -192,8 +192,8 @@
         context, [&](const StandInSupport::HttpRequest&, const StandInSupport::ReplyFunction& reply) {
             reply({ status, body });
         });
-    const Platform::LogEndpoint endpoint { { "127.0.0.1", server.port() }, "crocus" };
-    const std::string outcome = outcomeOf([&] { return Platform::readRecords(endpoint, 1, 10, 0ms, 2s); });
+    const LogService::LogEndpoint endpoint { { "127.0.0.1", server.port() }, "crocus" };
+    const std::string outcome = outcomeOf([&] { return LogService::readRecords(endpoint, 1, 10, 0ms, 2s); });
     const bool isExpired = status == 410 && body.starts_with(R"({"first":2)");
     REQUIRE(outcome == (isExpired ? "expired" : "malformed"));
 }
--- a/tests/auto/platform/tst_vmlistclient.cpp
+++ b/tests/auto/logservice/tst_vmlistclient.cpp
@@ -1,6 +1,6 @@
 #include "platformfixture.h"
 
-#include <platform/vmlistclient.h>
+#include <logservice/vmlistclient.h>
 #include <standins/support/backgroundserver.h>
 #include <standins/vmlist/vmlistservice.h>
 
@@ -30,14 +30,14 @@
     StandInVmList::VmListService service(context);
     REQUIRE(StandInVmList::loadEntries(service, listText));
     StandInSupport::BackgroundServer server(context, StandInVmList::handlerOf(service));
-    const boost::leaf::result<std::vector<Platform::VmEntry>> vms
-        = Platform::listVms({ "127.0.0.1", server.port() }, 2s);
+    const boost::leaf::result<std::vector<LogService::VmEntry>> vms
+        = LogService::listVms({ "127.0.0.1", server.port() }, 2s);
     REQUIRE(vms.has_value());
     REQUIRE(vms->size() == 2);
-    const Platform::VmEntry first { Utils::VmId { "west-1-a" }, Utils::ZoneId { "west-1" },
-        Utils::RegionId { "west" }, "127.1.1.11", 8080, 8081, Platform::VmState::Live };
+    const LogService::VmEntry first { Utils::VmId { "west-1-a" }, Utils::ZoneId { "west-1" },
+        Utils::RegionId { "west" }, "127.1.1.11", 8080, 8081, LogService::VmState::Live };
     REQUIRE(vms->front() == first);
-    REQUIRE(vms->back().state == Platform::VmState::Leaving);
+    REQUIRE(vms->back().state == LogService::VmState::Leaving);
 }
 
 TEST_CASE("faults of the list are told apart", "[vmlistclient]")
@@ -62,7 +62,7 @@
     service.faults.*row.fault = row.value;
     StandInSupport::BackgroundServer server(context, StandInVmList::handlerOf(service));
     REQUIRE(outcomeOf([&] {
-        return Platform::listVms({ "127.0.0.1", server.port() }, 300ms);
+        return LogService::listVms({ "127.0.0.1", server.port() }, 300ms);
     }) == row.outcome);
 }
 
@@ -79,5 +79,7 @@
         context, [&](const StandInSupport::HttpRequest&, const StandInSupport::ReplyFunction& reply) {
             reply({ 200, text });
         });
-    REQUIRE(outcomeOf([&] { return Platform::listVms({ "127.0.0.1", server.port() }, 2s); }) == "malformed");
+    REQUIRE(outcomeOf([&] {
+        return LogService::listVms({ "127.0.0.1", server.port() }, 2s);
+    }) == "malformed");
 }
