Take an upstream's speed relative to its route, and renew reads that waited through an outage

Cause 1: requests that only probe the configuration end within a millisecond; the mean of latencies took an upstream that served a few of them for one of 584 requests a second, and the leader heaped keys on it. Now connecting has its own limit, a read after a failure does not wait, long reads are begun anew when the store is back, and the leader's record tells which configuration it knows.

--- a/src/libs/balancing/chooseupstream.cpp
+++ b/src/libs/balancing/chooseupstream.cpp
@@ -57,8 +57,8 @@
 {
     Scored scored;
     scored.index = index;
-    scored.expected
-        = expectedLatency(*candidate.load, *request.stats, candidate.slots, candidate.slowness, now);
+    scored.expected = expectedLatency(
+        *candidate.load, *request.stats, request.usual, candidate.slots, candidate.slowness, now);
     const double failing = 1 + failureWeight * candidate.load->failureShare;
     const Milliseconds latency(scored.expected);
     scored.score = latency.count() * failing * (1 + jitter * randomShare(request.seed, candidate.id))
@@ -71,8 +71,9 @@
 
 bool isSilent(const UpstreamLoad& load, const ServiceStats& stats, Utils::Instant now)
 {
-    const Utils::Duration usual = load.serviceTime.value_or(stats.serviceTime);
-    const Utils::Duration bound = std::max(usual * Internal::silentTimes, Internal::shortestSilence);
+    const Utils::Duration patience(static_cast<std::int64_t>(
+        static_cast<double>(stats.serviceTime.count()) * load.slowness * Internal::silentTimes));
+    const Utils::Duration bound = std::max(patience, Internal::shortestSilence);
     return load.silentSince && now - *load.silentSince > bound;
 }
 
--- a/src/libs/balancing/loadmodel.cpp
+++ b/src/libs/balancing/loadmodel.cpp
@@ -11,12 +11,9 @@
 /// old.
 constexpr double hiddenWait = 0.3;
 
-Utils::Duration mix(Utils::Duration mean, Utils::Duration sample)
-{
-    const double mixed = static_cast<double>(mean.count()) * (1 - sampleWeight)
-        + static_cast<double>(sample.count()) * sampleWeight;
-    return Utils::Duration(static_cast<std::int64_t>(mixed));
-}
+/// Bounds of one sample of slowness, and of the mean: single requests vary far more than upstreams do.
+constexpr double leastSlowness = 0.4;
+constexpr double mostSlowness = 8;
 
 void settleOne(UpstreamLoad& load, Utils::Instant now)
 {
@@ -49,23 +46,31 @@
         load.silentSince = now;
 }
 
-void noteAnswer(UpstreamLoad& load, ServiceStats& stats, Utils::Duration latency,
-    const std::optional<Routing::ToldLoad>& told, bool good, Utils::Instant now)
+Utils::Duration mixed(Utils::Duration mean, Utils::Duration sample)
+{
+    const double value = static_cast<double>(mean.count()) * (1 - sampleWeight)
+        + static_cast<double>(sample.count()) * sampleWeight;
+    return Utils::Duration(static_cast<std::int64_t>(value));
+}
+
+void noteAnswer(UpstreamLoad& load, ServiceStats& stats, const AnswerSample& sample, Utils::Instant now)
 {
     Internal::settleOne(load, now);
-    if (told)
-        Internal::noteTold(load, stats, *told, now);
-    load.failureShare += ((good ? 0.0 : 1.0) - load.failureShare) * sampleWeight;
-    if (!good) {
+    if (sample.told)
+        Internal::noteTold(load, stats, *sample.told, now);
+    load.failureShare += ((sample.good ? 0.0 : 1.0) - load.failureShare) * sampleWeight;
+    if (!sample.good) {
         ++load.failuresInRow;
         return;
     }
     load.failuresInRow = 0;
-    const bool waited = told && told->waiting > 0;
-    if (waited && load.serviceTime && latency > *load.serviceTime)
+    // Behind a queue the latency says little of the speed.
+    const bool waited = sample.told && sample.told->waiting > 0;
+    if (waited || !sample.usual || *sample.usual <= Utils::Duration::zero())
         return;
-    load.serviceTime = load.serviceTime ? Internal::mix(*load.serviceTime, latency) : latency;
-    stats.serviceTime = Internal::mix(stats.serviceTime, latency);
+    const double ratio = std::clamp(std::chrono::duration<double>(sample.latency) / *sample.usual,
+        Internal::leastSlowness, Internal::mostSlowness);
+    load.slowness += (ratio - load.slowness) * sampleWeight;
 }
 
 void noteRefusal(
@@ -104,15 +109,16 @@
     return load.outstanding + load.othersWhenTold * weight + stats.othersMean * (1 - weight);
 }
 
-Utils::Duration expectedLatency(
-    const UpstreamLoad& load, const ServiceStats& stats, unsigned slots, double slowness, Utils::Instant now)
+Utils::Duration expectedLatency(const UpstreamLoad& load, const ServiceStats& stats, Utils::Duration usual,
+    unsigned slots, double slowness, Utils::Instant now)
 {
-    const double service
-        = static_cast<double>(load.serviceTime.value_or(stats.serviceTime).count()) * slowness;
+    const double factor = load.slowness * slowness;
     const double requests = estimatedLoad(load, stats, now);
     const double excess = std::max(0.0, requests - slots + 1);
     const double hidden = Internal::hiddenWait * std::min(requests, static_cast<double>(slots));
-    return Utils::Duration(static_cast<std::int64_t>(service * (1 + (excess + hidden) / slots)));
+    const double waiting = static_cast<double>(stats.serviceTime.count()) * (excess + hidden) / slots;
+    return Utils::Duration(
+        static_cast<std::int64_t>(factor * (static_cast<double>(usual.count()) + waiting)));
 }
 
 } // namespace Balancing
--- a/src/libs/balancing/loadmodel.h
+++ b/src/libs/balancing/loadmodel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <balancing/answersample.h>
 #include <balancing/servicestats.h>
 #include <balancing/upstreamload.h>
 #include <utils/time.h>
@@ -22,9 +23,12 @@
 /// A request was sent.
 void noteSent(UpstreamLoad& load, Utils::Instant now);
 
-/// An answer came after \a latency; \a told is the load that came with it.
-void noteAnswer(UpstreamLoad& load, ServiceStats& stats, Utils::Duration latency,
-    const std::optional<Routing::ToldLoad>& told, bool good, Utils::Instant now);
+/// A whole answer came. Routes differ in work, so an upstream's speed is taken relative to the route's usual
+/// time.
+void noteAnswer(UpstreamLoad& load, ServiceStats& stats, const AnswerSample& sample, Utils::Instant now);
+
+/// \a mean after one more \a sample.
+Utils::Duration mixed(Utils::Duration mean, Utils::Duration sample);
 
 /// The upstream refused the request without running it.
 void noteRefusal(UpstreamLoad& load, ServiceStats& stats, const std::optional<Routing::ToldLoad>& told,
@@ -39,8 +43,9 @@
 /// Requests running and waiting at the upstream, as far as can be known at \a now.
 double estimatedLoad(const UpstreamLoad& load, const ServiceStats& stats, Utils::Instant now);
 
-/// Time from sending to the answer for one more request, without the network.
-Utils::Duration expectedLatency(
-    const UpstreamLoad& load, const ServiceStats& stats, unsigned slots, double slowness, Utils::Instant now);
+/// Time from sending to the answer for one more request of \a usual time, without the network.
+/// \param slowness by which a cold start lengthens it.
+Utils::Duration expectedLatency(const UpstreamLoad& load, const ServiceStats& stats, Utils::Duration usual,
+    unsigned slots, double slowness, Utils::Instant now);
 
 } // namespace Balancing
--- a/src/libs/balancing/placementrequest.h
+++ b/src/libs/balancing/placementrequest.h
@@ -10,10 +10,10 @@
 /// What decides where one request goes.
 struct PlacementRequest {
     const ServiceStats* stats = nullptr;
+    /// Time that such a request takes at an upstream of usual speed, without waiting.
+    Utils::Duration usual {};
     /// Bytes that its answer is likely to have; they cost on the way between zones and regions.
     double answerBytes = 0;
-    /// Time left until the caller or the route gives up.
-    Utils::Duration timeLeft {};
     /// Breaks ties between equal upstreams differently for each request.
     std::uint64_t seed = 0;
 };
--- a/src/libs/balancing/upstreamload.h
+++ b/src/libs/balancing/upstreamload.h
@@ -14,8 +14,8 @@
     /// Requests of other VMs there, by the last load that it told.
     double othersWhenTold = 0;
     Utils::Instant toldAt {};
-    /// Time that it needs for a request without waiting; nothing before the first answer.
-    std::optional<Utils::Duration> serviceTime;
+    /// How many times longer it takes for a request than upstreams of its service usually do.
+    double slowness = 1;
     /// Failures since the last good answer.
     unsigned failuresInRow = 0;
     /// Not chosen before this time while others can be.
--- a/src/libs/edge/call.h
+++ b/src/libs/edge/call.h
@@ -37,6 +37,8 @@
     boost::asio::steady_timer timer;
     boost::beast::flat_buffer buffer;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
+    /// When it is given up.
+    Utils::Instant deadline {};
     bool reused = false;
     bool sent = false;
 };
--- a/src/libs/edge/callpool.cpp
+++ b/src/libs/edge/callpool.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace Edge {
 
 namespace asio = boost::asio;
@@ -17,6 +19,8 @@
 
 /// Idle connections are closed well before the other side does; upstreams keep theirs for ten seconds.
 constexpr Utils::Duration longestIdle = std::chrono::seconds(4);
+/// Time to connect, several round trips between regions.
+constexpr Utils::Duration connectTime = std::chrono::milliseconds(500);
 constexpr std::size_t mostIdlePerEndpoint = 4;
 /// Answers of the store may hold megabytes of records.
 constexpr std::uint64_t mostAnswerBytes = 8ULL << 20;
@@ -27,6 +31,8 @@
     return found == pool.calls.end() ? nullptr : found->second;
 }
 
+bool isPending(const CallPool& pool, std::uint64_t id) { return pool.calls.contains(id); }
+
 void keepConnection(CallPool& pool, Call& call)
 {
     std::deque<CallPool::IdleConnection>& idle = pool.idle[call.endpoint];
@@ -56,6 +62,17 @@
 
 void connect(CallPool& pool, std::uint64_t id);
 
+void armTimer(CallPool& pool, std::uint64_t id, const std::shared_ptr<Call>& call, Utils::Duration time)
+{
+    call->timer.expires_after(time);
+    call->timer.async_wait([&pool, id, call](const ErrorCode& error) {
+        if (error || !isPending(pool, id))
+            return;
+        dropIdle(pool, call->endpoint);
+        fail(pool, id, call->sent ? CallOutcome::TimedOut : CallOutcome::NotConnected);
+    });
+}
+
 /// A kept connection that breaks before an answer begins is replaced once, for calls that may be repeated.
 bool startAnew(CallPool& pool, std::uint64_t id, Call& call)
 {
@@ -70,8 +87,6 @@
     return true;
 }
 
-bool isPending(const CallPool& pool, std::uint64_t id) { return pool.calls.contains(id); }
-
 void readAnswer(CallPool& pool, std::uint64_t id, const std::shared_ptr<Call>& call)
 {
     call->parser.emplace();
@@ -115,6 +130,8 @@
     const std::shared_ptr<Call> call = findCall(pool, id);
     if (!call)
         return;
+    // A first packet that is lost is sent again only after a second; another call is sooner.
+    armTimer(pool, id, call, std::min(call->deadline - now(), connectTime));
     call->socket.async_connect(toTcp(call->endpoint), [&pool, id, call](const ErrorCode& error) {
         if (!isPending(pool, id))
             return;
@@ -126,6 +143,7 @@
             return;
         }
         tuneSocket(call->socket);
+        armTimer(pool, id, call, call->deadline - now());
         send(pool, id, call);
     });
 }
@@ -150,24 +168,33 @@
 
 } // namespace Internal
 
-void startCall(CallPool& pool, const Routing::Endpoint& endpoint, Platform::HttpRequest request,
+std::uint64_t startCall(CallPool& pool, const Routing::Endpoint& endpoint, Platform::HttpRequest request,
     Utils::Duration timeout, CallHandler handler)
 {
     const std::uint64_t id = ++pool.lastId;
     const std::shared_ptr<Call> call
         = std::make_shared<Call>(pool.context, endpoint, std::move(request), std::move(handler));
     pool.calls.emplace(id, call);
-    call->timer.expires_after(timeout);
-    call->timer.async_wait([&pool, id, call](const Internal::ErrorCode& error) {
-        if (error || !Internal::isPending(pool, id))
-            return;
-        dropIdle(pool, call->endpoint);
-        Internal::fail(pool, id, call->sent ? CallOutcome::TimedOut : CallOutcome::NotConnected);
-    });
-    if (Internal::takeIdle(pool, *call))
+    call->deadline = now() + timeout;
+    if (Internal::takeIdle(pool, *call)) {
+        Internal::armTimer(pool, id, call, timeout);
         Internal::send(pool, id, call);
-    else
+    } else {
         Internal::connect(pool, id);
+    }
+    return id;
+}
+
+void cancelCall(CallPool& pool, std::uint64_t id)
+{
+    const auto found = pool.calls.find(id);
+    if (found == pool.calls.end())
+        return;
+    const std::shared_ptr<Call> call = found->second;
+    pool.calls.erase(found);
+    call->timer.cancel();
+    Internal::ErrorCode ignored;
+    call->socket.close(ignored);
 }
 
 void dropIdle(CallPool& pool, const Routing::Endpoint& endpoint) { pool.idle.erase(endpoint); }
--- a/src/libs/edge/callpool.h
+++ b/src/libs/edge/callpool.h
@@ -31,9 +31,13 @@
 
 /// Sends \a request to \a endpoint and calls \a handler once, never before this returns.
 /// \param timeout from now to the whole answer, connecting included.
-void startCall(CallPool& pool, const Routing::Endpoint& endpoint, Platform::HttpRequest request,
+/// \return the call's id.
+std::uint64_t startCall(CallPool& pool, const Routing::Endpoint& endpoint, Platform::HttpRequest request,
     Utils::Duration timeout, CallHandler handler);
 
+/// Ends a call without calling its handler, if it is still under way.
+void cancelCall(CallPool& pool, std::uint64_t id);
+
 /// Closes what is idle to \a endpoint; used when one of its connections went silent.
 void dropIdle(CallPool& pool, const Routing::Endpoint& endpoint);
 
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -110,12 +110,19 @@
         park(node, exchange, left);
 }
 
-Balancing::PlacementRequest placementFor(Node& node, const Exchange& exchange, Utils::Duration timeLeft)
+/// Time that the request is likely to take where nothing waits.
+Utils::Duration usualTime(Node& node, const Exchange& exchange)
+{
+    const Balancing::RouteStats& stats = node.traffic.routes[exchange.route->name];
+    return stats.usual.value_or(node.traffic.stats[exchange.service->id].serviceTime);
+}
+
+Balancing::PlacementRequest placementFor(Node& node, const Exchange& exchange)
 {
     Balancing::PlacementRequest request;
     request.stats = &node.traffic.stats[exchange.service->id];
-    request.answerBytes = node.traffic.answerBytes[exchange.route->name];
-    request.timeLeft = timeLeft;
+    request.usual = usualTime(node, exchange);
+    request.answerBytes = node.traffic.routes[exchange.route->name].answerBytes;
     request.seed = exchange.id ^ node.incarnation;
     return request;
 }
@@ -125,7 +132,7 @@
 {
     Balancing::AdmissionFacts facts;
     facts.expected = expected;
-    facts.unloaded = node.traffic.stats[exchange.service->id].serviceTime;
+    facts.unloaded = usualTime(node, exchange);
     facts.toTarget = exchange.targetAt - at;
     facts.timeLeft = exchange.deadlineAt - at;
     facts.cameBack = exchange.cameBack;
@@ -152,7 +159,7 @@
     }
     const std::vector<Balancing::Candidate> candidates = candidatesFor(node, *exchange, at);
     const std::optional<Balancing::Placement> placement
-        = Balancing::chooseUpstream(candidates, placementFor(node, *exchange, timeLeft), at);
+        = Balancing::chooseUpstream(candidates, placementFor(node, *exchange), at);
     if (!placement) {
         endHere(node, exchange, OwnReason::NoUpstream, soon);
         return;
@@ -191,7 +198,7 @@
 {
     if (!exchange.terms.deadline)
         return {};
-    Utils::Duration& longest = node.traffic.longestDeadline[exchange.route->name];
+    Utils::Duration& longest = node.traffic.routes[exchange.route->name].longestDeadline;
     longest = std::max(longest, *exchange.terms.deadline);
     return longest - *exchange.terms.deadline;
 }
@@ -245,7 +252,7 @@
 
 void noteAnswerSize(Node& node, const Exchange& exchange, std::size_t bytes)
 {
-    double& mean = node.traffic.answerBytes[exchange.route->name];
+    double& mean = node.traffic.routes[exchange.route->name].answerBytes;
     mean = mean == 0 ? static_cast<double>(bytes) : mean + (static_cast<double>(bytes) - mean) * sizeWeight;
 }
 
@@ -289,7 +296,7 @@
     facts.hasOther = hasOther(node, exchange, end)
         && !Balancing::isHeld(node.traffic.poison, exchange.fingerprint, now());
     facts.timeLeft = exchange.deadlineAt - now();
-    facts.expected = node.traffic.stats[exchange.service->id].serviceTime;
+    facts.expected = usualTime(node, exchange);
     return facts;
 }
 
@@ -308,7 +315,7 @@
 
 Utils::Duration comeBackAfter(Node& node, const Exchange& exchange)
 {
-    return std::max(soon, node.traffic.stats[exchange.service->id].serviceTime);
+    return std::max(soon, usualTime(node, exchange));
 }
 
 } // namespace Internal
--- a/src/libs/edge/following.cpp
+++ b/src/libs/edge/following.cpp
@@ -57,6 +57,8 @@
         { { "dependency", "store" }, { "topic", follower.topic }, { "failures", follower.failures } });
     follower.failures = 0;
     Routing::noteDisturbance(node.beliefs.directory, now());
+    if (follower.onRegained)
+        follower.onRegained();
 }
 
 /// Runs \a decode and hands a failure to the log, the counters and \a follower's retries.
@@ -107,8 +109,10 @@
 void readSnapshot(Node& node, TopicFollower& follower)
 {
     const std::string after = follower.pages.empty() ? std::string() : follower.pages.back().key;
-    callStore(node, Platform::newestCall(node.settings.store, follower.topic, after), answerTime,
-        [&node, &follower](StoreOutcome outcome, const std::string& body) {
+    follower.callAt = now();
+    follower.call = callStore(node, Platform::newestCall(node.settings.store, follower.topic, after),
+        answerTime, [&node, &follower](StoreOutcome outcome, const std::string& body) {
+            follower.call = 0;
             if (outcome != StoreOutcome::Done) {
                 follower.pages.clear();
                 follower.snapshotEnd.reset();
@@ -185,4 +189,17 @@
 
 void startFollowing(Node& node, TopicFollower& follower) { Internal::readOn(node, follower); }
 
+void readAnew(Node& node, TopicFollower& follower)
+{
+    cancelCall(node.calls, follower.call);
+    follower.call = 0;
+    follower.timer.cancel();
+    follower.pages.clear();
+    follower.snapshotEnd.reset();
+    if (Platform::isKeyed(follower.topic))
+        Internal::readSnapshot(node, follower);
+    else
+        Internal::readOn(node, follower);
+}
+
 } // namespace Edge
--- a/src/libs/edge/leading.cpp
+++ b/src/libs/edge/leading.cpp
@@ -43,6 +43,9 @@
 /// Upstreams that start together are waited for before keys are placed for the first time.
 constexpr Utils::Duration firstPlanDelay = std::chrono::milliseconds(1200);
 
+/// Seconds; work that seems shorter is a mistake of measurement.
+constexpr double shortestWork = 0.001;
+
 Utils::Duration holdTime(const Node& node, Utils::Instant at)
 {
     const Utils::Duration longest = node.settings.bounds.longestHold;
@@ -66,6 +69,7 @@
 void appendLease(Node& node)
 {
     Granting::Leadership& leadership = node.leader.leadership;
+    leadership.self.configuration = node.beliefs.table ? node.beliefs.table->configuration.version : 0;
     Granting::noteAppendSent(leadership, now());
     Platform::AppendTerms terms;
     terms.topic = leaderTopic;
@@ -275,10 +279,9 @@
         if (entry.record.service != service || !Routing::isUsable(entry)
             || Granting::isLost(granter, it->first, at))
             continue;
-        const Utils::Duration time
-            = node.traffic.links[it->first].load.serviceTime.value_or(stats.serviceTime);
-        const double seconds = std::max(std::chrono::duration<double>(time).count(), 0.001);
-        servers.push_back({ it->first, entry.record.slots / seconds });
+        const double seconds = std::chrono::duration<double>(stats.serviceTime).count()
+            * node.traffic.links[it->first].load.slowness;
+        servers.push_back({ it->first, entry.record.slots / std::max(seconds, shortestWork) });
     }
     std::sort(servers.begin(), servers.end(),
         [](const Granting::KeyServer& one, const Granting::KeyServer& other) { return one.id < other.id; });
--- a/src/libs/edge/service.cpp
+++ b/src/libs/edge/service.cpp
@@ -61,6 +61,27 @@
     return response;
 }
 
+/// Reads that waited while the store was away may have gone silent without a sign.
+void renewLongReads(Service& service)
+{
+    readAnew(service.node, service.configurations);
+    readAnew(service.node, service.assignments);
+}
+
+/// Reads the configuration anew if the leader knows a later one and no read has been begun since.
+void catchUpWithLeader(Service& service)
+{
+    const std::optional<Granting::LeaderRecord>& leader = service.node.leader.leadership.last;
+    const std::uint64_t known
+        = service.node.beliefs.table ? service.node.beliefs.table->configuration.version : 0;
+    const bool waitsLong = now() - service.configurations.callAt > leaderPause;
+    if (!leader || leader->configuration <= known || !waitsLong)
+        return;
+    Logging::write(Logging::Level::Warning, "configuration_missed",
+        { { "known", known }, { "leader_knows", leader->configuration } });
+    readAnew(service.node, service.configurations);
+}
+
 void followTopics(Service& service)
 {
     Node& node = service.node;
@@ -86,9 +107,12 @@
     service.leader.topic = leaderTopic;
     service.leader.wait = leaderWait;
     service.leader.pause = leaderPause;
-    service.leader.onRecords
-        = [&node](const std::vector<Platform::StoreRecord>& records) { takeLeaderRead(node, records); };
+    service.leader.onRecords = [&service](const std::vector<Platform::StoreRecord>& records) {
+        takeLeaderRead(service.node, records);
+        catchUpWithLeader(service);
+    };
     service.leader.onRead = [&node](Utils::Offset end) { noteLeaderEnd(node, end); };
+    service.reports.onRegained = [&service] { renewLongReads(service); };
     startFollowing(node, service.configurations);
     startFollowing(node, service.reports);
     startFollowing(node, service.assignments);
--- a/src/libs/edge/storecaller.cpp
+++ b/src/libs/edge/storecaller.cpp
@@ -21,9 +21,10 @@
 
 } // namespace Internal
 
-void callStore(Node& node, Platform::HttpRequest request, Utils::Duration timeout, StoreHandler handler)
+std::uint64_t callStore(
+    Node& node, Platform::HttpRequest request, Utils::Duration timeout, StoreHandler handler)
 {
-    startCall(node.calls, node.settings.store, std::move(request), timeout,
+    return startCall(node.calls, node.settings.store, std::move(request), timeout,
         [&node, handler = std::move(handler)](CallReply reply) {
             const Platform::StoreOutcome outcome = Internal::outcomeOf(reply);
             node.counters.storeCalls.add(outcome);
--- a/src/libs/edge/topicfollower.h
+++ b/src/libs/edge/topicfollower.h
@@ -28,6 +28,8 @@
     std::function<void(const std::vector<Platform::StoreRecord>&, Utils::Offset end)> onSnapshot;
     /// Takes records as they come.
     std::function<void(const std::vector<Platform::StoreRecord>&)> onRecords;
+    /// Called when the store answers again after failures.
+    std::function<void()> onRegained;
     /// Called after each read that was answered.
     std::function<void(Utils::Offset end)> onRead;
     /// Where to read on; nothing before the first snapshot.
@@ -37,6 +39,10 @@
     std::optional<Utils::Offset> snapshotEnd;
     /// Reads without an answer in a row.
     unsigned failures = 0;
+    /// The read under way; 0 during a pause.
+    std::uint64_t call = 0;
+    /// When it began.
+    Utils::Instant callAt {};
     boost::asio::steady_timer timer;
 };
 
--- a/src/libs/edge/traffic.h
+++ b/src/libs/edge/traffic.h
@@ -2,6 +2,7 @@
 
 #include <balancing/poisonmemory.h>
 #include <balancing/retrybudget.h>
+#include <balancing/routestats.h>
 #include <balancing/servicestats.h>
 #include <edge/callerconnection.h>
 #include <edge/exchange.h>
@@ -26,10 +27,8 @@
     std::unordered_map<Utils::UpstreamId, UpstreamLink> links;
     std::unordered_map<Utils::ServiceId, Balancing::ServiceStats> stats;
     std::unordered_map<Utils::ServiceId, Balancing::RetryBudget> budgets;
-    /// Mean bytes of a route's answers.
-    std::unordered_map<std::string, double> answerBytes;
-    /// Longest deadline seen on a route: that of callers' first attempts.
-    std::unordered_map<std::string, Utils::Duration> longestDeadline;
+    /// By the route's name.
+    std::unordered_map<std::string, Balancing::RouteStats> routes;
     Routing::SplitState split;
     Balancing::PoisonMemory poison;
     /// Bytes of the request bodies held.
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -92,6 +92,40 @@
     return status >= firstServerFailure ? AttemptEnd::ServerFailure : AttemptEnd::Answered;
 }
 
+Balancing::RouteStats* routeStatsOf(Node& node, const UpstreamConnection& connection)
+{
+    const auto exchange = node.traffic.exchanges.find(connection.exchange);
+    return exchange == node.traffic.exchanges.end() ? nullptr
+                                                    : &node.traffic.routes[exchange->second->route->name];
+}
+
+Balancing::AnswerSample sampleOf(Node& node, const UpstreamConnection& connection, AttemptEnd end,
+    const Platform::ServerTold& told, Utils::Instant at)
+{
+    Balancing::AnswerSample sample;
+    sample.latency = at - connection.sentAt;
+    sample.told = told.load;
+    sample.good = end == AttemptEnd::Answered;
+    if (const Balancing::RouteStats* route = routeStatsOf(node, connection))
+        sample.usual = route->usual;
+    return sample;
+}
+
+/// Learns how long requests of the route and of the service take where nothing waits.
+void noteUsual(Node& node, const UpstreamConnection& connection, AttemptEnd end,
+    const Platform::ServerTold& told, Utils::Instant at)
+{
+    Balancing::RouteStats* route = routeStatsOf(node, connection);
+    if (!route || end != AttemptEnd::Answered || (told.load && told.load->waiting > 0))
+        return;
+    const double slowness = node.traffic.links[connection.upstream].load.slowness;
+    const Utils::Duration usual(
+        static_cast<std::int64_t>(static_cast<double>((at - connection.sentAt).count()) / slowness));
+    route->usual = route->usual ? Balancing::mixed(*route->usual, usual) : usual;
+    Balancing::ServiceStats& stats = node.traffic.stats[connection.service];
+    stats.serviceTime = Balancing::mixed(stats.serviceTime, usual);
+}
+
 void noteEnd(
     Node& node, const UpstreamConnection& connection, AttemptEnd end, const Platform::ServerTold& told)
 {
@@ -101,8 +135,8 @@
     switch (end) {
     case AttemptEnd::Answered:
     case AttemptEnd::ServerFailure:
-        Balancing::noteAnswer(
-            load, stats, at - connection.sentAt, told.load, end == AttemptEnd::Answered, at);
+        Balancing::noteAnswer(load, stats, sampleOf(node, connection, end, told, at), at);
+        noteUsual(node, connection, end, told, at);
         node.counters.attemptLatency.record(at - connection.sentAt);
         break;
     case AttemptEnd::Refused:
--- a/src/libs/granting/keyload.h
+++ b/src/libs/granting/keyload.h
@@ -14,7 +14,7 @@
 };
 
 /// Half of what is known of a key's load is forgotten after this long; busy keys change within seconds.
-inline constexpr Utils::Duration loadHalfLife = std::chrono::milliseconds(2500);
+inline constexpr Utils::Duration loadHalfLife = std::chrono::milliseconds(1500);
 
 /// Adds \a count requests for \a key.
 void addRequests(KeyLoad& load, std::uint16_t key, double count);
