Let the leader pass on what is new in the store

VMs now keep a link to the leader, which passes on changes with its word twice a second, and read the store themselves only when it is silent for a second or says that its own reads are not fresh. Load reports take the same link; the retry budget is divided by the number of VMs that the leader counts.

--- a/src/libs/edge/beliefupdates.cpp
+++ b/src/libs/edge/beliefupdates.cpp
@@ -2,6 +2,7 @@
 #include <edge/clock.h>
 #include <edge/exchanges.h>
 #include <edge/leading.h>
+#include <edge/relay.h>
 #include <edge/upstreams.h>
 #include <granting/recordcodec.h>
 #include <granting/recorderror.h>
@@ -53,16 +54,18 @@
         });
 }
 
-void adopt(Node& node, Routing::Configuration configuration, Utils::Offset offset)
+/// Puts \a configuration in force unless a later one is; whether it did.
+bool adopt(Node& node, Routing::Configuration configuration, Utils::Offset offset)
 {
     const std::uint64_t former = node.beliefs.table ? node.beliefs.table->configuration.version : 0;
     if (node.beliefs.table && configuration.version <= former)
-        return;
+        return false;
     Logging::write(Logging::Level::Info, "configuration_in_force",
         { { "version", configuration.version }, { "former", former }, { "offset", offset },
             { "routes", configuration.routes.size() } });
     node.beliefs.table
         = std::make_shared<const Routing::RouteTable>(Routing::makeRouteTable(std::move(configuration)));
+    return true;
 }
 
 void indexServices(Node& node)
@@ -75,6 +78,13 @@
     }
 }
 
+/// Last offset of the reports that has been read.
+Utils::Offset readUpTo(const Node& node)
+{
+    const Utils::Offset next = node.followers.reports.next.value_or(0);
+    return next > 0 ? next - 1 : 0;
+}
+
 void logChange(
     const Node& node, const Utils::UpstreamId& id, Routing::DirectoryChange change, Utils::Offset offset)
 {
@@ -103,6 +113,9 @@
     if (change == Routing::DirectoryChange::None)
         return;
     logChange(node, id, change, offset);
+    if (change == Routing::DirectoryChange::Removed)
+        passOn(
+            node, { Relay::RelayTopic::Reports, id.value, std::nullopt, std::max(offset, readUpTo(node)) });
     if (change == Routing::DirectoryChange::Reborn) {
         closeIdle(node, id);
         node.traffic.links[id].load = {};
@@ -126,9 +139,25 @@
     }
     const std::optional<Routing::UpstreamRecord> report = decodedOrSkipped<Routing::UpstreamRecord>(
         node, record, [&record] { return Platform::decodeUpstream(record.key, *record.value); });
-    if (report)
-        applyChange(node, id, Routing::applyReport(node.beliefs.directory, *report, record.offset, now()),
-            record.offset);
+    if (!report)
+        return;
+    const Routing::DirectoryChange change
+        = Routing::applyReport(node.beliefs.directory, *report, record.offset, now());
+    applyChange(node, id, change, record.offset);
+    if (change != Routing::DirectoryChange::None)
+        passOn(node, { Relay::RelayTopic::Reports, record.key, record.value, record.offset });
+}
+
+/// \a id has ended for good, whatever the store's state.
+void endUpstream(Node& node, const Utils::UpstreamId& id, Utils::Offset offset)
+{
+    const auto found = node.beliefs.directory.entries.find(id);
+    if (found == node.beliefs.directory.entries.end() || found->second.gone || found->second.offset > offset)
+        return;
+    found->second.missingSince = now();
+    found->second.gone = true;
+    found->second.offset = offset;
+    applyChange(node, id, Routing::DirectoryChange::Removed, offset);
 }
 
 bool isNewer(const Granting::KeyAssignment& one, const Granting::KeyAssignment& other)
@@ -146,9 +175,10 @@
         std::optional<Routing::Configuration> configuration
             = Internal::decodedOrSkipped<Routing::Configuration>(
                 node, record, [&record] { return Platform::decodeConfiguration(*record.value); });
-        if (configuration)
-            Internal::adopt(node, std::move(*configuration), record.offset);
+        if (configuration && Internal::adopt(node, std::move(*configuration), record.offset))
+            passOn(node, { Relay::RelayTopic::Configurations, record.key, record.value, record.offset });
     }
+    flushRelay(node);
 }
 
 void takeReports(Node& node, const std::vector<Platform::StoreRecord>& records)
@@ -157,6 +187,7 @@
         Internal::takeReport(node, record);
     Internal::indexServices(node);
     resumeParked(node);
+    flushRelay(node);
 }
 
 void takeAllReports(Node& node, const std::vector<Platform::StoreRecord>& records, Utils::Offset end)
@@ -177,6 +208,14 @@
     node.beliefs.directoryLoaded = true;
     Internal::indexServices(node);
     resumeParked(node);
+    flushRelay(node);
+}
+
+void takeLoss(Node& node, const Utils::UpstreamId& id, Utils::Offset offset)
+{
+    Internal::endUpstream(node, id, offset);
+    Internal::indexServices(node);
+    resumeParked(node);
 }
 
 void takeAssignment(Node& node, const Granting::KeyAssignment& assignment)
@@ -200,6 +239,7 @@
             [&]() -> leaf::result<void> {
                 BOOST_LEAF_AUTO(assignment, Granting::decodeAssignment(*record.value));
                 takeAssignment(node, assignment);
+                passOn(node, { Relay::RelayTopic::Assignments, record.key, record.value, record.offset });
                 return {};
             },
             [&](Granting::RecordError error) {
@@ -211,6 +251,7 @@
                 Logging::write(Logging::Level::Error, "record_skipped", { { "key", record.key } });
             });
     }
+    flushRelay(node);
 }
 
 void expireReports(Node& node)
@@ -218,8 +259,10 @@
     const std::vector<Utils::UpstreamId> expired = Routing::expireMissing(node.beliefs.directory, now());
     for (const Utils::UpstreamId& id : expired)
         Internal::applyChange(node, id, Routing::DirectoryChange::Removed, 0);
-    if (!expired.empty())
-        Internal::indexServices(node);
+    if (expired.empty())
+        return;
+    Internal::indexServices(node);
+    flushRelay(node);
 }
 
 } // namespace Edge
--- a/src/libs/edge/beliefupdates.h
+++ b/src/libs/edge/beliefupdates.h
@@ -17,6 +17,9 @@
 /// The newest report of every upstream; those that are not among them are missing.
 void takeAllReports(Node& node, const std::vector<Platform::StoreRecord>& records, Utils::Offset end);
 
+/// The leader has found \a id missing for good.
+void takeLoss(Node& node, const Utils::UpstreamId& id, Utils::Offset offset);
+
 /// Records of who holds which keys; the newest of each service is in force.
 void takeAssignments(Node& node, const std::vector<Platform::StoreRecord>& records);
 
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -42,10 +42,11 @@
 constexpr std::uint64_t heldMemoryPart = 4;
 /// Weight of a new answer in a route's mean size.
 constexpr double sizeWeight = 0.1;
-/// Parts of the retry budget: of the slack that all VMs share, one VM takes this share; more VMs than this
-/// divide it further.
-constexpr double slackShare = 1.0 / 16;
-constexpr double ratioShare = 0.8;
+/// Part of the retry budget that is used, for VMs whose requests and windows are counted a little
+/// differently.
+constexpr double budgetShare = 0.8;
+/// VMs that are taken to share the budget while the leader has not told how many there are.
+constexpr std::uint32_t untoldVms = 32;
 
 void removeExchange(Node& node, const ExchangePtr& exchange)
 {
@@ -184,7 +185,8 @@
 Balancing::RetryAllowance allowanceOf(const Node& node)
 {
     const Routing::Bounds& bounds = node.settings.bounds;
-    return { bounds.retryRatio * ratioShare, bounds.retrySlack * slackShare, bounds.retryWindow };
+    const std::uint32_t vms = node.relaying.vms > 1 ? node.relaying.vms : untoldVms;
+    return { bounds.retryRatio * budgetShare, bounds.retrySlack * budgetShare / vms, bounds.retryWindow };
 }
 
 std::uint64_t fingerprintOf(const Platform::HttpRequest& request)
--- a/src/libs/edge/following.cpp
+++ b/src/libs/edge/following.cpp
@@ -33,7 +33,7 @@
     }
     follower.timer.expires_after(pause);
     follower.timer.async_wait([&node, &follower](const ErrorCode& error) {
-        if (!error)
+        if (!error && !follower.paused && follower.call == 0)
             readOn(node, follower);
     });
 }
@@ -51,6 +51,7 @@
 
 void noteSuccess(Node& node, TopicFollower& follower)
 {
+    follower.answeredAt = now();
     if (follower.failures == 0)
         return;
     Logging::write(Logging::Level::Info, "dependency_regained",
@@ -154,23 +155,33 @@
     readAfter(node, follower, follower.pause);
 }
 
+void takeReadAnswer(
+    Node& node, TopicFollower& follower, Utils::Offset from, StoreOutcome outcome, const std::string& body)
+{
+    if (outcome == StoreOutcome::Expired) {
+        skipExpired(node, follower, body);
+        return;
+    }
+    if (outcome != StoreOutcome::Done) {
+        noteFailure(node, follower, outcome);
+        return;
+    }
+    const std::optional<Platform::StorePage> page = decoded(
+        node, follower, [&] { return Platform::decodeRead(body, from, Platform::isKeyed(follower.topic)); });
+    if (page)
+        takeRead(node, follower, *page);
+}
+
 void readRecords(Node& node, TopicFollower& follower)
 {
     const Utils::Offset from = *follower.next;
-    callStore(node, Platform::readCall(node.settings.store, follower.topic, from, follower.wait),
-        follower.wait + answerTime, [&node, &follower, from](StoreOutcome outcome, const std::string& body) {
-            if (outcome == StoreOutcome::Expired) {
-                skipExpired(node, follower, body);
-                return;
-            }
-            if (outcome != StoreOutcome::Done) {
-                noteFailure(node, follower, outcome);
-                return;
-            }
-            const std::optional<Platform::StorePage> page = decoded(node, follower,
-                [&] { return Platform::decodeRead(body, from, Platform::isKeyed(follower.topic)); });
-            if (page)
-                takeRead(node, follower, *page);
+    // After a failure the store is asked for what there is, so that its return is noticed at once.
+    const Utils::Duration wait = follower.failures > 0 ? Utils::Duration::zero() : follower.wait;
+    follower.callAt = now();
+    follower.call = callStore(node, Platform::readCall(node.settings.store, follower.topic, from, wait),
+        wait + answerTime, [&node, &follower, from](StoreOutcome outcome, const std::string& body) {
+            follower.call = 0;
+            takeReadAnswer(node, follower, from, outcome, body);
         });
 }
 
@@ -190,16 +201,34 @@
 void startFollowing(Node& node, TopicFollower& follower) { Internal::readOn(node, follower); }
 
 void readAnew(Node& node, TopicFollower& follower)
+{
+    if (follower.paused)
+        return;
+    pauseFollowing(node, follower);
+    follower.paused = false;
+    if (Platform::isKeyed(follower.topic))
+        Internal::readSnapshot(node, follower);
+    else
+        Internal::readOn(node, follower);
+}
+
+void pauseFollowing(Node& node, TopicFollower& follower)
 {
     cancelCall(node.calls, follower.call);
     follower.call = 0;
     follower.timer.cancel();
     follower.pages.clear();
     follower.snapshotEnd.reset();
-    if (Platform::isKeyed(follower.topic))
-        Internal::readSnapshot(node, follower);
-    else
-        Internal::readOn(node, follower);
+    follower.paused = true;
+}
+
+void resumeFollowing(Node& node, TopicFollower& follower)
+{
+    if (!follower.paused)
+        return;
+    follower.paused = false;
+    follower.failures = 0;
+    Internal::readOn(node, follower);
 }
 
 } // namespace Edge
--- a/src/libs/edge/following.h
+++ b/src/libs/edge/following.h
@@ -12,4 +12,10 @@
 /// its read may have gone silent.
 void readAnew(Node& node, TopicFollower& follower);
 
+/// Ends what is under way, until resumeFollowing().
+void pauseFollowing(Node& node, TopicFollower& follower);
+
+/// Reads on where it was left.
+void resumeFollowing(Node& node, TopicFollower& follower);
+
 } // namespace Edge
--- a/src/libs/edge/leading.cpp
+++ b/src/libs/edge/leading.cpp
@@ -3,6 +3,7 @@
 #include <edge/following.h>
 #include <edge/leadershiplog.h>
 #include <edge/leading.h>
+#include <edge/relay.h>
 #include <edge/storecaller.h>
 #include <edge/topics.h>
 #include <granting/grantingconstants.h>
@@ -56,6 +57,7 @@
 {
     if (!node.leader.granters.empty() || node.leader.prepared)
         logNotLeading(node.leader.leadership, why);
+    dismissMembers(node);
     node.leader.granters.clear();
     node.leader.prepared = false;
     node.leader.preparing = false;
@@ -78,6 +80,7 @@
             Granting::Leadership& leadership = node.leader.leadership;
             const bool led = leadership.term.has_value();
             if (outcome != StoreOutcome::Done) {
+                resumeFollowing(node, node.followers.leader);
                 if (outcome == StoreOutcome::Unknown || outcome == StoreOutcome::Malformed)
                     Granting::noteAppendUnknown(leadership);
                 else
@@ -96,6 +99,9 @@
                 });
             if (!led && leadership.term)
                 logLeading(leadership);
+            // Nobody else writes there while the lease is renewed; another's record shows in the next append.
+            if (leadership.term && !leadership.doubtfulSince)
+                pauseFollowing(node, node.followers.leader);
         });
 }
 
@@ -111,15 +117,22 @@
 void noteRecordsWritten(
     Node& node, const std::vector<Granting::KeyAssignment>& assignments, Utils::Offset firstOffset)
 {
+    Utils::Offset offset = firstOffset;
     node.leader.assignmentEnd = firstOffset + assignments.size();
     node.leader.prepared = true;
     for (const Granting::KeyAssignment& assignment : assignments) {
         const auto granter = node.leader.granters.find(assignment.service);
-        if (granter == node.leader.granters.end())
+        if (granter == node.leader.granters.end()) {
+            ++offset;
             continue;
+        }
         Granting::noteWritten(granter->second, assignment);
         takeAssignment(node, granter->second.assignment);
+        passOn(node,
+            { Relay::RelayTopic::Assignments, assignment.service.value,
+                Granting::encodeAssignment(granter->second.assignment), offset++ });
     }
+    flushRelay(node);
 }
 
 /// Writes \a assignments if nobody else has written since they were last read. After any other end the
@@ -175,9 +188,10 @@
     return assignments;
 }
 
-/// Takes what stands in the store. Before this leader's first write has succeeded, its granters begin with it, as an
-/// earlier read may have been stale. After that they know better: the store has either a write of this leader's own that
-/// got no answer, or one of a former leader that was carried out late; both are written over.
+/// Takes what stands in the store. Before this leader's first write has succeeded, its granters begin with
+/// it, as an earlier read may have been stale. After that they know better: the store has either a write of
+/// this leader's own that got no answer, or one of a former leader that was carried out late; both are
+/// written over.
 void takeReread(Node& node, const Platform::StorePage& page)
 {
     const std::map<Utils::ServiceId, Granting::KeyAssignment> stored = decodeAssignments(page);
@@ -448,6 +462,16 @@
         Granting::noteLoss(it->second, upstream);
 }
 
+void takeLoadReport(Node& node, const Granting::LoadReport& report)
+{
+    for (const Granting::ServiceKeys& keys : report.services) {
+        Granting::KeyLoad& load = node.leader.loads[keys.service];
+        Granting::decay(load, now());
+        for (auto it = keys.counts.begin(); it != keys.counts.end(); ++it)
+            Granting::addRequests(load, it->first, it->second);
+    }
+}
+
 void resign(Node& node)
 {
     Granting::Leadership& leadership = node.leader.leadership;
--- a/src/libs/edge/leading.h
+++ b/src/libs/edge/leading.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <edge/node.h>
+#include <granting/loadreport.h>
 #include <platform/storerecord.h>
 
 #include <vector>
@@ -20,6 +21,9 @@
 /// The process behind \a upstream has ended: it holds nothing any more.
 void noteUpstreamEnded(Node& node, const Utils::UpstreamId& upstream);
 
+/// Takes a VM's word on which keys callers ask for.
+void takeLoadReport(Node& node, const Granting::LoadReport& report);
+
 /// Stops granting and lets another lead at once.
 void resign(Node& node);
 
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -22,6 +22,8 @@
     writeNumber(text, "crocus_upstreams", "gauge", "Upstreams known",
         static_cast<double>(beliefs.directory.entries.size()));
     writeNumber(text, "crocus_leading", "gauge", "1 while this VM grants keys", leads ? 1 : 0);
+    writeNumber(text, "crocus_relied_on_leader", "gauge", "1 while the leader passes on what is new",
+        node.relaying.relied ? 1 : 0);
     writeNumber(text, "crocus_requests_open", "gauge", "Requests being served",
         static_cast<double>(node.traffic.exchanges.size()));
     writeNumber(text, "crocus_caller_connections", "gauge", "Open connections of callers",
--- a/src/libs/edge/node.h
+++ b/src/libs/edge/node.h
@@ -3,12 +3,13 @@
 #include <edge/beliefs.h>
 #include <edge/callpool.h>
 #include <edge/counters.h>
+#include <edge/followers.h>
 #include <edge/leaderduty.h>
+#include <edge/relaying.h>
 #include <edge/traffic.h>
 #include <routing/vmsettings.h>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace Edge {
@@ -21,8 +22,9 @@
         , settings(std::move(settings))
         , incarnation(incarnation)
         , calls(context)
+        , followers(context)
+        , relaying(context)
         , leader(context)
-        , peers(context)
         , reportTimer(context)
     {
     }
@@ -31,12 +33,12 @@
     Routing::VmSettings settings;
     Utils::Incarnation incarnation;
     CallPool calls;
+    Followers followers;
+    Relaying relaying;
     Beliefs beliefs;
     Traffic traffic;
     LeaderDuty leader;
     Counters counters;
-    /// Sends and takes reports of load.
-    boost::asio::ip::udp::socket peers;
     boost::asio::steady_timer reportTimer;
     /// A stop was asked for: callers are sent away as they finish.
     bool stopping = false;
--- /dev/null
+++ b/src/libs/edge/relay.cpp
@@ -0,0 +1,429 @@
+#include <edge/beliefupdates.h>
+#include <edge/clock.h>
+#include <edge/following.h>
+#include <edge/leading.h>
+#include <edge/relay.h>
+#include <granting/loadreportcodec.h>
+#include <granting/recordcodec.h>
+#include <logging/log.h>
+#include <relay/framecodec.h>
+#include <relay/relayerror.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/leaf.hpp>
+
+#include <algorithm>
+
+namespace Edge {
+
+namespace leaf = boost::leaf;
+
+namespace Internal {
+
+using ErrorCode = boost::system::error_code;
+using LinkPtr = std::shared_ptr<RelayLink>;
+using Relay::RelayTopic;
+
+/// Between two looks at the link to the leader.
+constexpr Utils::Duration relayTick = std::chrono::milliseconds(200);
+/// Longest silence of a leader that has nothing new to say.
+constexpr Utils::Duration wordInterval = std::chrono::milliseconds(400);
+/// A leader that is silent for longer is not relied upon: two of its words may be late, and with what follows
+/// a change still arrives within the bounds of the platform.
+constexpr Utils::Duration longestSilence = std::chrono::milliseconds(1000);
+/// Between two tries to reach the leader.
+constexpr Utils::Duration connectInterval = std::chrono::milliseconds(600);
+/// A VM that does not take what it is sent is dropped at this point, and reads the store itself.
+constexpr std::size_t mostOutboxBytes = std::size_t(8) << 20;
+/// The leader's own reads of the store are taken for fresh for this long; it reads at least once a second.
+constexpr Utils::Duration freshFor = std::chrono::milliseconds(2000);
+
+void readFrames(Node& node, const LinkPtr& link);
+void loseLink(Node& node, const LinkPtr& link, const char* why);
+
+bool isOpen(const Node& node, const RelayLink& link)
+{
+    return node.relaying.members.contains(link.id)
+        || (node.relaying.toLeader && node.relaying.toLeader->id == link.id);
+}
+
+void writeFirst(Node& node, const LinkPtr& link)
+{
+    boost::asio::async_write(link->socket, boost::asio::buffer(link->outbox.front()),
+        [&node, link](const ErrorCode& error, std::size_t) {
+            if (!isOpen(node, *link))
+                return;
+            if (error) {
+                loseLink(node, link, "write");
+                return;
+            }
+            link->outboxBytes -= link->outbox.front().size();
+            link->outbox.pop_front();
+            if (!link->outbox.empty())
+                writeFirst(node, link);
+        });
+}
+
+void sendFrame(Node& node, const LinkPtr& link, std::string frame)
+{
+    link->outboxBytes += frame.size();
+    if (link->outboxBytes > mostOutboxBytes) {
+        loseLink(node, link, "full");
+        return;
+    }
+    link->outbox.push_back(std::move(frame));
+    if (link->outbox.size() == 1)
+        writeFirst(node, link);
+}
+
+bool readsFreshly(const Node& node)
+{
+    const TopicFollower& reports = node.followers.reports;
+    return reports.failures == 0 && now() - reports.answeredAt < freshFor;
+}
+
+Relay::Update makeUpdate(const Node& node, std::vector<Relay::RelayRecord> records)
+{
+    Relay::Update update;
+    update.leader = Granting::encodeLeader(node.leader.leadership.self);
+    update.leaderEnd = node.leader.leadership.end.value_or(0);
+    update.fresh = readsFreshly(node);
+    update.vms = static_cast<std::uint32_t>(node.relaying.members.size() + 1);
+    update.records = std::move(records);
+    return update;
+}
+
+void sendToAll(Node& node, std::vector<Relay::RelayRecord> records)
+{
+    node.relaying.saidAt = now();
+    node.relaying.vms = static_cast<std::uint32_t>(node.relaying.members.size() + 1);
+    const std::string frame = Relay::encodeFrame(makeUpdate(node, std::move(records)));
+    std::vector<LinkPtr> links;
+    for (auto it = node.relaying.members.begin(); it != node.relaying.members.end(); ++it) {
+        if (it->second->subscribed)
+            links.push_back(it->second);
+    }
+    for (const LinkPtr& link : links)
+        sendFrame(node, link, frame);
+}
+
+bool isNeeded(const Relay::RelayRecord& record, const Relay::Subscription& subscription)
+{
+    switch (record.topic) {
+    case RelayTopic::Configurations:
+        return record.offset >= subscription.configurations;
+    case RelayTopic::Reports:
+        return record.offset >= subscription.reports;
+    case RelayTopic::Assignments:
+        return record.offset >= subscription.assignments;
+    }
+    return false;
+}
+
+void takeSubscription(Node& node, const LinkPtr& link, const Relay::Subscription& subscription)
+{
+    if (!Granting::mayLead(node.leader.leadership, now())) {
+        loseLink(node, link, "not_leading");
+        return;
+    }
+    link->vm = subscription.vm;
+    link->subscribed = true;
+    std::vector<Relay::RelayRecord> records;
+    for (auto it = node.relaying.newest.begin(); it != node.relaying.newest.end(); ++it) {
+        if (isNeeded(it->second, subscription))
+            records.push_back(it->second);
+    }
+    sendFrame(node, link, Relay::encodeFrame(makeUpdate(node, std::move(records))));
+}
+
+Platform::StoreRecord toStoreRecord(const Relay::RelayRecord& record)
+{
+    return { record.offset, record.key, record.value };
+}
+
+/// Moves on where a topic is read when the store is read again.
+void advance(TopicFollower& follower, Utils::Offset offset)
+{
+    if (follower.next)
+        follower.next = std::max(*follower.next, offset + 1);
+}
+
+void takeRecord(Node& node, const Relay::RelayRecord& record)
+{
+    switch (record.topic) {
+    case RelayTopic::Configurations:
+        takeConfigurations(node, { toStoreRecord(record) });
+        advance(node.followers.configurations, record.offset);
+        break;
+    case RelayTopic::Reports:
+        if (record.value)
+            takeReports(node, { toStoreRecord(record) });
+        else
+            takeLoss(node, { record.key }, record.offset);
+        advance(node.followers.reports, record.offset);
+        break;
+    case RelayTopic::Assignments:
+        takeAssignments(node, { toStoreRecord(record) });
+        advance(node.followers.assignments, record.offset);
+        break;
+    }
+}
+
+void readStore(Node& node)
+{
+    if (!node.relaying.relied)
+        return;
+    node.relaying.relied = false;
+    Logging::write(Logging::Level::Warning, "dependency_lost", { { "dependency", "leader" } });
+    resumeFollowing(node, node.followers.leader);
+    resumeFollowing(node, node.followers.reports);
+    resumeFollowing(node, node.followers.configurations);
+    resumeFollowing(node, node.followers.assignments);
+}
+
+void relyOnLeader(Node& node, const Utils::VmId& leader)
+{
+    if (node.relaying.relied)
+        return;
+    node.relaying.relied = true;
+    Logging::write(
+        Logging::Level::Info, "dependency_regained", { { "dependency", "leader" }, { "vm", leader.value } });
+    pauseFollowing(node, node.followers.leader);
+    pauseFollowing(node, node.followers.reports);
+    pauseFollowing(node, node.followers.configurations);
+    pauseFollowing(node, node.followers.assignments);
+}
+
+void takeUpdate(Node& node, const LinkPtr& link, const Relay::Update& update)
+{
+    node.relaying.heardAt = now();
+    node.relaying.vms = std::max(update.vms, 1U);
+    const std::optional<Granting::LeaderRecord> leader = leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<Granting::LeaderRecord>> {
+            BOOST_LEAF_AUTO(record, Granting::decodeLeader(update.leader));
+            return std::optional<Granting::LeaderRecord>(record);
+        },
+        []() { return std::optional<Granting::LeaderRecord>(); });
+    if (!leader) {
+        loseLink(node, link, "leader_unreadable");
+        return;
+    }
+    for (const Relay::RelayRecord& record : update.records)
+        takeRecord(node, record);
+    Granting::noteRead(node.leader.leadership, update.leaderEnd, leader, now());
+    if (!update.fresh)
+        readStore(node);
+    else if (node.beliefs.table && node.beliefs.directoryLoaded)
+        relyOnLeader(node, leader->vm);
+}
+
+void takeLoad(Node& node, const std::string& datagram)
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(report, Granting::decodeReport({ datagram.data(), datagram.size() }));
+            takeLoadReport(node, report);
+            return {};
+        },
+        [&]() {
+            Logging::write(Logging::Level::Warning, "report_unreadable", { { "bytes", datagram.size() } });
+        });
+}
+
+void takeFrame(Node& node, const LinkPtr& link, const Relay::Frame& frame)
+{
+    if (const Relay::Subscription* subscription = std::get_if<Relay::Subscription>(&frame))
+        takeSubscription(node, link, *subscription);
+    else if (const Relay::Update* update = std::get_if<Relay::Update>(&frame))
+        takeUpdate(node, link, *update);
+    else if (const Relay::LoadFrame* load = std::get_if<Relay::LoadFrame>(&frame))
+        takeLoad(node, load->report);
+}
+
+/// Takes all whole frames that have come; false if one makes no sense.
+bool takeFrames(Node& node, const LinkPtr& link)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+            while (isOpen(node, *link)) {
+                BOOST_LEAF_AUTO(frame, Relay::takeFrame(link->received));
+                if (!frame)
+                    break;
+                takeFrame(node, link, *frame);
+            }
+            return true;
+        },
+        [&](Relay::RelayError error) {
+            Logging::write(Logging::Level::Error, "relay_frame_unusable",
+                { { "vm", link->vm.value }, { "error", Utils::enumName(Relay::relayErrorNames, error) } });
+            return false;
+        },
+        []() { return false; });
+}
+
+void readFrames(Node& node, const LinkPtr& link)
+{
+    link->socket.async_read_some(
+        boost::asio::buffer(link->chunk), [&node, link](const ErrorCode& error, std::size_t size) {
+            if (!isOpen(node, *link))
+                return;
+            if (error) {
+                loseLink(node, link, "read");
+                return;
+            }
+            link->received.append(link->chunk.data(), size);
+            if (!takeFrames(node, link))
+                loseLink(node, link, "frame");
+            else if (isOpen(node, *link))
+                readFrames(node, link);
+        });
+}
+
+void loseLink(Node& node, const LinkPtr& link, const char* why)
+{
+    ErrorCode ignored;
+    link->socket.close(ignored);
+    const bool wasToLeader = node.relaying.toLeader && node.relaying.toLeader->id == link->id;
+    if (wasToLeader) {
+        node.relaying.toLeader.reset();
+        readStore(node);
+    }
+    node.relaying.members.erase(link->id);
+    Logging::write(Logging::Level::Info, "link_lost",
+        { { "to_leader", wasToLeader }, { "vm", link->vm.value }, { "why", why } });
+}
+
+void subscribe(Node& node, const LinkPtr& link)
+{
+    tuneSocket(link->socket);
+    Relay::Subscription subscription;
+    subscription.vm = node.settings.name;
+    subscription.configurations = node.followers.configurations.next.value_or(0);
+    subscription.reports = node.followers.reports.next.value_or(0);
+    subscription.assignments = node.followers.assignments.next.value_or(0);
+    node.relaying.heardAt = now();
+    sendFrame(node, link, Relay::encodeFrame(subscription));
+    readFrames(node, link);
+}
+
+void connectToLeader(Node& node, const Granting::LeaderRecord& leader)
+{
+    node.relaying.triedAt = now();
+    const LinkPtr link = std::make_shared<RelayLink>(++node.traffic.lastId, Tcp::socket(node.context));
+    link->vm = leader.vm;
+    node.relaying.toLeader = link;
+    node.relaying.heardAt = now();
+    link->socket.async_connect(toTcp(leader.reports), [&node, link](const ErrorCode& error) {
+        if (!isOpen(node, *link))
+            return;
+        if (error)
+            loseLink(node, link, "connect");
+        else
+            subscribe(node, link);
+    });
+}
+
+void checkLeaderLink(Node& node, Utils::Instant at)
+{
+    Relaying& relaying = node.relaying;
+    const std::optional<Granting::LeaderRecord>& leader = node.leader.leadership.last;
+    const bool other = leader && !leader->vm.value.empty() && leader->vm != node.settings.name;
+    if (relaying.toLeader && (!other || relaying.toLeader->vm != leader->vm)) {
+        loseLink(node, LinkPtr(relaying.toLeader), "superseded");
+        return;
+    }
+    if (relaying.toLeader && at - relaying.heardAt > longestSilence) {
+        loseLink(node, LinkPtr(relaying.toLeader), "silent");
+        return;
+    }
+    const bool ready = node.beliefs.table && node.beliefs.directoryLoaded && node.followers.assignments.next;
+    if (!relaying.toLeader && other && ready && at - relaying.triedAt > connectInterval)
+        connectToLeader(node, *leader);
+}
+
+void tickRelay(Node& node)
+{
+    const Utils::Instant at = now();
+    if (Granting::mayLead(node.leader.leadership, at)) {
+        if (at - node.relaying.saidAt >= wordInterval)
+            sendToAll(node, {});
+    }
+    checkLeaderLink(node, at);
+    node.relaying.timer.expires_after(relayTick);
+    node.relaying.timer.async_wait([&node](const ErrorCode& error) {
+        if (!error)
+            tickRelay(node);
+    });
+}
+
+void acceptMember(Node& node)
+{
+    node.relaying.acceptor.async_accept([&node](const ErrorCode& error, Tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        if (!error) {
+            const LinkPtr link = std::make_shared<RelayLink>(++node.traffic.lastId, std::move(socket));
+            tuneSocket(link->socket);
+            node.relaying.members.emplace(link->id, link);
+            readFrames(node, link);
+        }
+        acceptMember(node);
+    });
+}
+
+} // namespace Internal
+
+void startRelay(Node& node)
+{
+    const Tcp::endpoint local = toTcp({ node.settings.address, node.settings.firstInternalPort });
+    node.relaying.acceptor.open(local.protocol());
+    node.relaying.acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    node.relaying.acceptor.bind(local);
+    node.relaying.acceptor.listen();
+    Internal::acceptMember(node);
+    Internal::tickRelay(node);
+}
+
+void passOn(Node& node, Relay::RelayRecord record)
+{
+    Relay::RelayRecord& newest = node.relaying.newest[{ record.topic, record.key }];
+    if (record.offset < newest.offset)
+        return;
+    newest = record;
+    node.relaying.unsent.push_back(std::move(record));
+}
+
+void flushRelay(Node& node)
+{
+    std::vector<Relay::RelayRecord> records = std::move(node.relaying.unsent);
+    node.relaying.unsent.clear();
+    if (!records.empty() && Granting::mayLead(node.leader.leadership, now()))
+        Internal::sendToAll(node, std::move(records));
+}
+
+void reportLoad(Node& node)
+{
+    Granting::LoadReport report;
+    report.vm = node.settings.name;
+    for (auto it = node.leader.counted.begin(); it != node.leader.counted.end(); ++it)
+        report.services.push_back(it->second);
+    node.leader.counted.clear();
+    if (report.services.empty())
+        return;
+    if (Granting::mayLead(node.leader.leadership, now()))
+        takeLoadReport(node, report);
+    else if (node.relaying.toLeader && node.relaying.relied)
+        Internal::sendFrame(node, node.relaying.toLeader,
+            Relay::encodeFrame(Relay::LoadFrame { Granting::encodeReport(report) }));
+}
+
+void dismissMembers(Node& node)
+{
+    std::vector<Internal::LinkPtr> links;
+    for (auto it = node.relaying.members.begin(); it != node.relaying.members.end(); ++it)
+        links.push_back(it->second);
+    for (const Internal::LinkPtr& link : links)
+        Internal::loseLink(node, link, "no_longer_leading");
+}
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/relay.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <edge/node.h>
+#include <relay/relayrecord.h>
+
+/// Passing on what is new in the store, from the leader to all other VMs.
+namespace Edge {
+
+/// Listens for other VMs, and keeps a link to the leader while this VM does not lead.
+/// Throws boost::system::system_error if it can't listen.
+void startRelay(Node& node);
+
+/// Notes a record that changed something; the leader passes it on.
+void passOn(Node& node, Relay::RelayRecord record);
+
+/// Sends what passOn() noted; called after a batch.
+void flushRelay(Node& node);
+
+/// Tells the leader, or takes as the leader, which keys callers asked for.
+void reportLoad(Node& node);
+
+/// Ends the links of other VMs; called when this VM no longer leads.
+void dismissMembers(Node& node);
+
+} // namespace Edge
--- a/src/libs/edge/reports.h
+++ b/src/libs/edge/reports.h
@@ -4,7 +4,7 @@
 
 namespace Edge {
 
-/// Tells the leader once a second which keys callers asked for, and takes such reports while this VM leads.
+/// Tells the leader twice a second which keys callers asked for.
 void startReports(Node& node);
 
 } // namespace Edge
--- a/src/libs/edge/service.cpp
+++ b/src/libs/edge/service.cpp
@@ -4,6 +4,7 @@
 #include <edge/following.h>
 #include <edge/leading.h>
 #include <edge/metricspage.h>
+#include <edge/relay.h>
 #include <edge/reports.h>
 #include <edge/service.h>
 #include <edge/topics.h>
@@ -23,13 +24,12 @@
 
 /// Where metrics are served; the deploy file names it.
 constexpr std::uint16_t metricsPort = 9464;
-/// Reads wait this long for a record. Upstreams report several times a second in all, operators and leaders
-/// seldom.
-constexpr Utils::Duration reportsWait = std::chrono::milliseconds(1500);
+/// Reads wait this long for a record. Those of upstreams' reports also show that the store can be read.
+constexpr Utils::Duration reportsWait = std::chrono::milliseconds(1000);
 constexpr Utils::Duration configurationsWait = std::chrono::seconds(20);
 constexpr Utils::Duration leaderWait = std::chrono::seconds(3);
-/// Reports of all upstreams come together; a pause keeps reads few and still leaves most of the drain bound.
-constexpr Utils::Duration reportsPause = std::chrono::milliseconds(400);
+/// Upstreams that change together are read together; leaves most of the drain bound.
+constexpr Utils::Duration reportsPause = std::chrono::milliseconds(150);
 /// A standby needs no renewal at once, as long as it sees some within a lease.
 constexpr Utils::Duration leaderPause = std::chrono::milliseconds(600);
 /// After a stop is asked for, new callers are taken until the balancer has seen two refusals a second apart.
@@ -62,10 +62,10 @@
 }
 
 /// Reads that waited while the store was away may have gone silent without a sign.
-void renewLongReads(Service& service)
+void renewLongReads(Node& node)
 {
-    readAnew(service.node, service.configurations);
-    readAnew(service.node, service.assignments);
+    readAnew(node, node.followers.configurations);
+    readAnew(node, node.followers.assignments);
 }
 
 /// Reads the configuration anew if the leader knows a later one and no read has been begun since.
@@ -74,49 +74,50 @@
     const std::optional<Granting::LeaderRecord>& leader = service.node.leader.leadership.last;
     const std::uint64_t known
         = service.node.beliefs.table ? service.node.beliefs.table->configuration.version : 0;
-    const bool waitsLong = now() - service.configurations.callAt > leaderPause;
+    const bool waitsLong = now() - service.node.followers.configurations.callAt > leaderPause;
     if (!leader || leader->configuration <= known || !waitsLong)
         return;
     Logging::write(Logging::Level::Warning, "configuration_missed",
         { { "known", known }, { "leader_knows", leader->configuration } });
-    readAnew(service.node, service.configurations);
+    readAnew(service.node, service.node.followers.configurations);
 }
 
 void followTopics(Service& service)
 {
     Node& node = service.node;
-    service.configurations.topic = Platform::operatorTopic;
-    service.configurations.wait = configurationsWait;
-    service.configurations.onRecords
+    Followers& followers = node.followers;
+    followers.configurations.topic = Platform::operatorTopic;
+    followers.configurations.wait = configurationsWait;
+    followers.configurations.onRecords
         = [&node](const std::vector<Platform::StoreRecord>& records) { takeConfigurations(node, records); };
-    service.configurations.onSnapshot = [&node](const std::vector<Platform::StoreRecord>& records,
-                                            Utils::Offset) { takeConfigurations(node, records); };
-    service.reports.topic = Platform::serversTopic;
-    service.reports.wait = reportsWait;
-    service.reports.pause = reportsPause;
-    service.reports.onRecords
+    followers.configurations.onSnapshot = [&node](const std::vector<Platform::StoreRecord>& records,
+                                              Utils::Offset) { takeConfigurations(node, records); };
+    followers.reports.topic = Platform::serversTopic;
+    followers.reports.wait = reportsWait;
+    followers.reports.pause = reportsPause;
+    followers.reports.onRecords
         = [&node](const std::vector<Platform::StoreRecord>& records) { takeReports(node, records); };
-    service.reports.onSnapshot = [&node](const std::vector<Platform::StoreRecord>& records,
-                                     Utils::Offset end) { takeAllReports(node, records, end); };
-    service.assignments.topic = assignmentTopic;
-    service.assignments.wait = configurationsWait;
-    service.assignments.onRecords
+    followers.reports.onSnapshot = [&node](const std::vector<Platform::StoreRecord>& records,
+                                       Utils::Offset end) { takeAllReports(node, records, end); };
+    followers.assignments.topic = assignmentTopic;
+    followers.assignments.wait = configurationsWait;
+    followers.assignments.onRecords
         = [&node](const std::vector<Platform::StoreRecord>& records) { takeAssignments(node, records); };
-    service.assignments.onSnapshot = [&node](const std::vector<Platform::StoreRecord>& records,
-                                         Utils::Offset) { takeAssignments(node, records); };
-    service.leader.topic = leaderTopic;
-    service.leader.wait = leaderWait;
-    service.leader.pause = leaderPause;
-    service.leader.onRecords = [&service](const std::vector<Platform::StoreRecord>& records) {
+    followers.assignments.onSnapshot = [&node](const std::vector<Platform::StoreRecord>& records,
+                                           Utils::Offset) { takeAssignments(node, records); };
+    followers.leader.topic = leaderTopic;
+    followers.leader.wait = leaderWait;
+    followers.leader.pause = leaderPause;
+    followers.leader.onRecords = [&service](const std::vector<Platform::StoreRecord>& records) {
         takeLeaderRead(service.node, records);
         catchUpWithLeader(service);
     };
-    service.leader.onRead = [&node](Utils::Offset end) { noteLeaderEnd(node, end); };
-    service.reports.onRegained = [&service] { renewLongReads(service); };
-    startFollowing(node, service.configurations);
-    startFollowing(node, service.reports);
-    startFollowing(node, service.assignments);
-    startFollowing(node, service.leader);
+    followers.leader.onRead = [&node](Utils::Offset end) { noteLeaderEnd(node, end); };
+    followers.reports.onRegained = [&node] { renewLongReads(node); };
+    startFollowing(node, followers.configurations);
+    startFollowing(node, followers.reports);
+    startFollowing(node, followers.assignments);
+    startFollowing(node, followers.leader);
 }
 
 void acceptNext(Service& service)
@@ -230,6 +231,7 @@
         = [&node](std::string_view target) { return Internal::metricsAnswer(node, target); };
     startServing(service.metrics, toTcp({ node.settings.address, Internal::metricsPort }));
     Internal::listenForCallers(service);
+    startRelay(node);
     startReports(node);
     Internal::followTopics(service);
     startLeading(node);
--- a/src/libs/edge/service.h
+++ b/src/libs/edge/service.h
@@ -2,7 +2,6 @@
 
 #include <edge/node.h>
 #include <edge/smallserver.h>
-#include <edge/topicfollower.h>
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -15,10 +14,6 @@
 struct Service {
     Service(boost::asio::io_context& context, Routing::VmSettings settings, Utils::Incarnation incarnation)
         : node(context, std::move(settings), incarnation)
-        , configurations(context)
-        , reports(context)
-        , assignments(context)
-        , leader(context)
         , callers(context)
         , readiness(context)
         , metrics(context)
@@ -29,10 +24,6 @@
     }
 
     Node node;
-    TopicFollower configurations;
-    TopicFollower reports;
-    TopicFollower assignments;
-    TopicFollower leader;
     Tcp::acceptor callers;
     SmallServer readiness;
     SmallServer metrics;
--- a/src/libs/edge/topicfollower.h
+++ b/src/libs/edge/topicfollower.h
@@ -43,6 +43,10 @@
     std::uint64_t call = 0;
     /// When it began.
     Utils::Instant callAt {};
+    /// When a read was last answered.
+    Utils::Instant answeredAt {};
+    /// Not read for now.
+    bool paused = false;
     boost::asio::steady_timer timer;
 };
 
--- /dev/null
+++ b/src/libs/relay/framecodec.cpp
@@ -0,0 +1,129 @@
+#include <relay/framecodec.h>
+#include <relay/generated/relay_generated.h>
+#include <relay/relayerror.h>
+
+#include <boost/endian/conversion.hpp>
+#include <boost/leaf/error.hpp>
+
+namespace Relay {
+
+namespace leaf = boost::leaf;
+
+namespace Internal {
+
+constexpr std::size_t lengthBytes = 4;
+
+using Builder = flatbuffers::FlatBufferBuilder;
+using Bytes = flatbuffers::Vector<std::uint8_t>;
+
+flatbuffers::Offset<Bytes> packBytes(Builder& builder, std::string_view text)
+{
+    return builder.CreateVector(reinterpret_cast<const std::uint8_t*>(text.data()), text.size());
+}
+
+std::string unpackBytes(const Bytes& bytes)
+{
+    return { reinterpret_cast<const char*>(bytes.data()), bytes.size() };
+}
+
+flatbuffers::Offset<Generated::Record> packRecord(Builder& builder, const RelayRecord& record)
+{
+    const flatbuffers::Offset<flatbuffers::String> key = builder.CreateString(record.key);
+    const flatbuffers::Offset<Bytes> value = record.value ? packBytes(builder, *record.value) : 0;
+    return Generated::CreateRecord(
+        builder, static_cast<std::uint8_t>(record.topic), key, value, record.offset);
+}
+
+flatbuffers::Offset<void> packBody(Builder& builder, const Subscription& subscription)
+{
+    return Generated::CreateSubscriptionDirect(builder, subscription.vm.value.c_str(),
+        subscription.configurations, subscription.reports, subscription.assignments)
+        .Union();
+}
+
+flatbuffers::Offset<void> packBody(Builder& builder, const Update& update)
+{
+    std::vector<flatbuffers::Offset<Generated::Record>> records;
+    for (const RelayRecord& record : update.records)
+        records.push_back(packRecord(builder, record));
+    return Generated::CreateUpdateDirect(
+        builder, update.leader.c_str(), update.leaderEnd, update.fresh, update.vms, &records)
+        .Union();
+}
+
+flatbuffers::Offset<void> packBody(Builder& builder, const LoadFrame& load)
+{
+    return Generated::CreateLoad(builder, packBytes(builder, load.report)).Union();
+}
+
+Generated::Body typeOf(const Frame& frame)
+{
+    constexpr std::array<Generated::Body, 3> types { Generated::Body::Subscription, Generated::Body::Update,
+        Generated::Body::Load };
+    return types.at(frame.index());
+}
+
+Update unpackUpdate(const Generated::Update& packed)
+{
+    Update update;
+    update.leader = packed.leader()->str();
+    update.leaderEnd = packed.leader_end();
+    update.fresh = packed.fresh();
+    update.vms = packed.vms();
+    for (const Generated::Record* record : *packed.records()) {
+        RelayRecord unpacked { static_cast<RelayTopic>(record->topic()), record->key()->str(), std::nullopt,
+            record->offset() };
+        if (record->value())
+            unpacked.value = unpackBytes(*record->value());
+        update.records.push_back(std::move(unpacked));
+    }
+    return update;
+}
+
+leaf::result<Frame> unpackFrame(std::string_view bytes)
+{
+    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+    if (!Generated::VerifyFrameBuffer(verifier))
+        return leaf::new_error(RelayError::Malformed);
+    const Generated::Frame* frame = Generated::GetFrame(bytes.data());
+    if (const Generated::Subscription* packed = frame->body_as_Subscription())
+        return Subscription { { packed->vm()->str() }, packed->configurations(), packed->reports(),
+            packed->assignments() };
+    if (const Generated::Update* packed = frame->body_as_Update())
+        return unpackUpdate(*packed);
+    if (const Generated::Load* packed = frame->body_as_Load())
+        return LoadFrame { unpackBytes(*packed->report()) };
+    return leaf::new_error(RelayError::Malformed);
+}
+
+} // namespace Internal
+
+std::string encodeFrame(const Frame& frame)
+{
+    Internal::Builder builder;
+    const flatbuffers::Offset<void> body
+        = std::visit([&builder](const auto& value) { return Internal::packBody(builder, value); }, frame);
+    builder.Finish(Generated::CreateFrame(builder, Internal::typeOf(frame), body));
+    std::string bytes(Internal::lengthBytes, '\0');
+    boost::endian::store_big_u32(
+        reinterpret_cast<unsigned char*>(bytes.data()), static_cast<std::uint32_t>(builder.GetSize()));
+    return bytes.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+}
+
+leaf::result<std::optional<Frame>> takeFrame(std::string& stream)
+{
+    if (stream.size() < Internal::lengthBytes)
+        return std::optional<Frame>();
+    const std::size_t length
+        = boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(stream.data()));
+    if (length > mostFrameBytes)
+        return leaf::new_error(RelayError::TooLong);
+    if (stream.size() < Internal::lengthBytes + length)
+        return std::optional<Frame>();
+    const std::string bytes = stream.substr(Internal::lengthBytes, length);
+    stream.erase(0, Internal::lengthBytes + length);
+    BOOST_LEAF_AUTO(frame, Internal::unpackFrame(bytes));
+    return std::optional<Frame>(std::move(frame));
+}
+
+} // namespace Relay
--- /dev/null
+++ b/src/libs/relay/framecodec.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <relay/loadframe.h>
+#include <relay/subscription.h>
+#include <relay/update.h>
+
+#include <boost/leaf/result.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+/// Frames on a TCP stream: four bytes of length, big-endian, then a FlatBuffer.
+namespace Relay {
+
+using Frame = std::variant<Subscription, Update, LoadFrame>;
+
+/// A frame may hold all reports and a large configuration.
+inline constexpr std::size_t mostFrameBytes = std::size_t(16) << 20;
+
+std::string encodeFrame(const Frame& frame);
+
+/// Takes the first whole frame off \a stream; nothing while it is not whole. Fails with a RelayError.
+boost::leaf::result<std::optional<Frame>> takeFrame(std::string& stream);
+
+} // namespace Relay
--- /dev/null
+++ b/src/libs/relay/relaytopic.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <utils/enumtable.h>
+
+#include <array>
+#include <cstdint>
+
+namespace Relay {
+
+/// What the leader passes on.
+enum class RelayTopic : std::uint8_t {
+    Configurations,
+    /// Reports of upstreams; only those that change what is believed of one.
+    Reports,
+    Assignments,
+};
+
+inline constexpr std::array<Utils::EnumName<RelayTopic>, 3> relayTopicNames { {
+    { RelayTopic::Configurations, "configurations" },
+    { RelayTopic::Reports, "reports" },
+    { RelayTopic::Assignments, "assignments" },
+} };
+
+} // namespace Relay
--- /dev/null
+++ b/src/libs/relay/update.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <relay/relayrecord.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace Relay {
+
+/// The leader's word that it is there, with what is new.
+struct Update {
+    /// The leader's record as it stands in the store.
+    std::string leader;
+    /// Where the leader's topic ends.
+    Utils::Offset leaderEnd = 0;
+    /// The leader reads the store without trouble.
+    bool fresh = false;
+    /// VMs that take part, the leader included.
+    std::uint32_t vms = 1;
+    std::vector<RelayRecord> records;
+
+    bool operator==(const Update&) const = default;
+};
+
+} // namespace Relay
