--- a/src/libs/edge/following.cpp
+++ b/src/libs/edge/following.cpp
@@ -58,8 +58,6 @@
         { { "dependency", "store" }, { "topic", follower.topic }, { "failures", follower.failures } });
     follower.failures = 0;
     Routing::noteDisturbance(node.beliefs.directory, now());
-    if (follower.onRegained)
-        follower.onRegained();
 }
 
 /// Runs \a decode and hands a failure to the log, the counters and \a follower's retries.
@@ -110,7 +108,6 @@
 void readSnapshot(Node& node, TopicFollower& follower)
 {
     const std::string after = follower.pages.empty() ? std::string() : follower.pages.back().key;
-    follower.callAt = now();
     follower.call = callStore(node, Platform::newestCall(node.settings.store, follower.topic, after),
         answerTime, [&node, &follower](StoreOutcome outcome, const std::string& body) {
             follower.call = 0;
@@ -177,7 +174,6 @@
     const Utils::Offset from = *follower.next;
     // After a failure the store is asked for what there is, so that its return is noticed at once.
     const Utils::Duration wait = follower.failures > 0 ? Utils::Duration::zero() : follower.wait;
-    follower.callAt = now();
     follower.call = callStore(node, Platform::readCall(node.settings.store, follower.topic, from, wait),
         wait + answerTime, [&node, &follower, from](StoreOutcome outcome, const std::string& body) {
             follower.call = 0;
@@ -200,18 +196,6 @@
 
 void startFollowing(Node& node, TopicFollower& follower) { Internal::readOn(node, follower); }
 
-void readAnew(Node& node, TopicFollower& follower)
-{
-    if (follower.paused)
-        return;
-    pauseFollowing(node, follower);
-    follower.paused = false;
-    if (Platform::isKeyed(follower.topic))
-        Internal::readSnapshot(node, follower);
-    else
-        Internal::readOn(node, follower);
-}
-
 void pauseFollowing(Node& node, TopicFollower& follower)
 {
     cancelCall(node.calls, follower.call);
--- a/src/libs/edge/following.h
+++ b/src/libs/edge/following.h
@@ -8,10 +8,6 @@
 /// Reads \a follower's topic from now on. Each failure counts as a disturbance of the store.
 void startFollowing(Node& node, TopicFollower& follower);
 
-/// Reads the newest of each key at once, instead of what is under way. For a reader that others are ahead of:
-/// its read may have gone silent.
-void readAnew(Node& node, TopicFollower& follower);
-
 /// Ends what is under way, until resumeFollowing().
 void pauseFollowing(Node& node, TopicFollower& follower);
 
--- a/src/libs/edge/leading.cpp
+++ b/src/libs/edge/leading.cpp
@@ -58,6 +58,8 @@
     if (!node.leader.granters.empty() || node.leader.prepared)
         logNotLeading(node.leader.leadership, why);
     dismissMembers(node);
+    if (!node.relaying.relied)
+        resumeFollowing(node, node.followers.assignments);
     node.leader.granters.clear();
     node.leader.prepared = false;
     node.leader.preparing = false;
@@ -69,7 +71,6 @@
 void appendLease(Node& node)
 {
     Granting::Leadership& leadership = node.leader.leadership;
-    leadership.self.configuration = node.beliefs.table ? node.beliefs.table->configuration.version : 0;
     Granting::noteAppendSent(leadership, now());
     Platform::AppendTerms terms;
     terms.topic = leaderTopic;
@@ -119,6 +120,8 @@
 {
     Utils::Offset offset = firstOffset;
     node.leader.assignmentEnd = firstOffset + assignments.size();
+    // Nobody else writes there in this term.
+    pauseFollowing(node, node.followers.assignments);
     node.leader.prepared = true;
     for (const Granting::KeyAssignment& assignment : assignments) {
         const auto granter = node.leader.granters.find(assignment.service);
--- a/src/libs/edge/relay.cpp
+++ b/src/libs/edge/relay.cpp
@@ -13,6 +13,7 @@
 #include <boost/leaf.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace Edge {
 
@@ -33,6 +34,8 @@
 constexpr Utils::Duration longestSilence = std::chrono::milliseconds(1000);
 /// Between two tries to reach the leader.
 constexpr Utils::Duration connectInterval = std::chrono::milliseconds(600);
+/// VMs whose addresses are passed on.
+constexpr std::size_t mostPeers = 32;
 /// A VM that does not take what it is sent is dropped at this point, and reads the store itself.
 constexpr std::size_t mostOutboxBytes = std::size_t(8) << 20;
 /// The leader's own reads of the store are taken for fresh for this long; it reads at least once a second.
@@ -93,11 +96,27 @@
     return update;
 }
 
+/// Addresses of members, this VM's own included; at most as many as one VM may need to find a living one.
+std::vector<std::string> memberAddresses(const Node& node)
+{
+    std::vector<std::string> addresses { node.settings.address };
+    for (auto it = node.relaying.members.begin(); it != node.relaying.members.end(); ++it) {
+        ErrorCode error;
+        const Tcp::endpoint remote = it->second->socket.remote_endpoint(error);
+        if (!error && addresses.size() < mostPeers)
+            addresses.push_back(remote.address().to_string());
+    }
+    return addresses;
+}
+
 void sendToAll(Node& node, std::vector<Relay::RelayRecord> records)
 {
     node.relaying.saidAt = now();
     node.relaying.vms = static_cast<std::uint32_t>(node.relaying.members.size() + 1);
-    const std::string frame = Relay::encodeFrame(makeUpdate(node, std::move(records)));
+    Relay::Update update = makeUpdate(node, std::move(records));
+    if (std::exchange(node.relaying.membersChanged, false))
+        update.peers = memberAddresses(node);
+    const std::string frame = Relay::encodeFrame(update);
     std::vector<LinkPtr> links;
     for (auto it = node.relaying.members.begin(); it != node.relaying.members.end(); ++it) {
         if (it->second->subscribed)
@@ -120,14 +139,29 @@
     return false;
 }
 
+/// Tells a VM that asks this one, which does not lead, who does.
+void nameLeader(Node& node, const LinkPtr& link)
+{
+    const Granting::Leadership& leadership = node.leader.leadership;
+    if (!leadership.last || !node.relaying.relied) {
+        loseLink(node, link, "not_leading");
+        return;
+    }
+    Relay::Update update;
+    update.leader = Granting::encodeLeader(*leadership.last);
+    update.leaderEnd = leadership.end.value_or(0);
+    sendFrame(node, link, Relay::encodeFrame(update));
+}
+
 void takeSubscription(Node& node, const LinkPtr& link, const Relay::Subscription& subscription)
 {
     if (!Granting::mayLead(node.leader.leadership, now())) {
-        loseLink(node, link, "not_leading");
+        nameLeader(node, link);
         return;
     }
     link->vm = subscription.vm;
     link->subscribed = true;
+    node.relaying.membersChanged = true;
     std::vector<Relay::RelayRecord> records;
     for (auto it = node.relaying.newest.begin(); it != node.relaying.newest.end(); ++it) {
         if (isNeeded(it->second, subscription))
@@ -210,7 +244,15 @@
     }
     for (const Relay::RelayRecord& record : update.records)
         takeRecord(node, record);
+    if (!update.peers.empty())
+        node.relaying.peers = update.peers;
     Granting::noteRead(node.leader.leadership, update.leaderEnd, leader, now());
+    if (link->vm.value.empty()) {
+        loseLink(node, link, "leader_named");
+        node.relaying.triedAt = {};
+        return;
+    }
+    // A VM that does not lead answers once, with who does.
     if (!update.fresh)
         readStore(node);
     else if (node.beliefs.table && node.beliefs.directoryLoaded)
@@ -306,14 +348,14 @@
     readFrames(node, link);
 }
 
-void connectToLeader(Node& node, const Granting::LeaderRecord& leader)
+void connectTo(Node& node, const Utils::VmId& vm, const Routing::Endpoint& endpoint)
 {
     node.relaying.triedAt = now();
     const LinkPtr link = std::make_shared<RelayLink>(++node.traffic.lastId, Tcp::socket(node.context));
-    link->vm = leader.vm;
+    link->vm = vm;
     node.relaying.toLeader = link;
     node.relaying.heardAt = now();
-    link->socket.async_connect(toTcp(leader.reports), [&node, link](const ErrorCode& error) {
+    link->socket.async_connect(toTcp(endpoint), [&node, link](const ErrorCode& error) {
         if (!isOpen(node, *link))
             return;
         if (error)
@@ -323,12 +365,26 @@
     });
 }
 
+/// Whether the leader's link fails and the store does not answer either.
+bool isCutOff(const Node& node) { return !node.relaying.relied && node.followers.leader.failures > 1; }
+
+/// Asks another VM who leads.
+void askPeer(Node& node)
+{
+    Relaying& relaying = node.relaying;
+    const std::string address = relaying.peers[relaying.nextPeer++ % relaying.peers.size()];
+    if (address != node.settings.address)
+        connectTo(node, {}, { address, node.settings.firstInternalPort });
+}
+
 void checkLeaderLink(Node& node, Utils::Instant at)
 {
     Relaying& relaying = node.relaying;
     const std::optional<Granting::LeaderRecord>& leader = node.leader.leadership.last;
     const bool other = leader && !leader->vm.value.empty() && leader->vm != node.settings.name;
-    if (relaying.toLeader && (!other || relaying.toLeader->vm != leader->vm)) {
+    const bool leads = Granting::mayLead(node.leader.leadership, at);
+    const bool asking = relaying.toLeader && relaying.toLeader->vm.value.empty();
+    if (relaying.toLeader && (leads || (!asking && (!other || relaying.toLeader->vm != leader->vm)))) {
         loseLink(node, LinkPtr(relaying.toLeader), "superseded");
         return;
     }
@@ -337,8 +393,14 @@
         return;
     }
     const bool ready = node.beliefs.table && node.beliefs.directoryLoaded && node.followers.assignments.next;
-    if (!relaying.toLeader && other && ready && at - relaying.triedAt > connectInterval)
-        connectToLeader(node, *leader);
+    if (relaying.toLeader || leads || !ready || at - relaying.triedAt <= connectInterval)
+        return;
+    // Every second try goes to another VM while neither leader nor store can be reached.
+    const bool ask = isCutOff(node) && !relaying.peers.empty() && relaying.nextPeer++ % 2 == 0;
+    if (ask)
+        askPeer(node);
+    else if (other)
+        connectTo(node, leader->vm, leader->reports);
 }
 
 void tickRelay(Node& node)
--- a/src/libs/edge/relaying.h
+++ b/src/libs/edge/relaying.h
@@ -32,6 +32,12 @@
     Utils::Instant heardAt {};
     /// The leader passes on what is new; the store is not read meanwhile.
     bool relied = false;
+    /// Addresses of VMs that may know the leader.
+    std::vector<std::string> peers;
+    /// Next of them to ask.
+    std::size_t nextPeer = 0;
+    /// At the leader: the members have changed since all were told.
+    bool membersChanged = false;
     /// VMs that take part, by the leader's word; 1 while it is not known.
     std::uint32_t vms = 1;
     /// The newest record of each key that changed something.
--- a/src/libs/edge/service.cpp
+++ b/src/libs/edge/service.cpp
@@ -24,9 +24,11 @@
 
 /// Where metrics are served; the deploy file names it.
 constexpr std::uint16_t metricsPort = 9464;
-/// Reads wait this long for a record. Those of upstreams' reports also show that the store can be read.
+/// Reads wait this long for a record. They also show that the store can be read; one that waits while the
+/// store turns VMs away may hear nothing, so that this is part of the time in which a change comes into
+/// force.
 constexpr Utils::Duration reportsWait = std::chrono::milliseconds(1000);
-constexpr Utils::Duration configurationsWait = std::chrono::seconds(20);
+constexpr Utils::Duration configurationsWait = std::chrono::milliseconds(1000);
 constexpr Utils::Duration leaderWait = std::chrono::seconds(3);
 /// Upstreams that change together are read together; leaves most of the drain bound.
 constexpr Utils::Duration reportsPause = std::chrono::milliseconds(150);
@@ -61,27 +63,6 @@
     return response;
 }
 
-/// Reads that waited while the store was away may have gone silent without a sign.
-void renewLongReads(Node& node)
-{
-    readAnew(node, node.followers.configurations);
-    readAnew(node, node.followers.assignments);
-}
-
-/// Reads the configuration anew if the leader knows a later one and no read has been begun since.
-void catchUpWithLeader(Service& service)
-{
-    const std::optional<Granting::LeaderRecord>& leader = service.node.leader.leadership.last;
-    const std::uint64_t known
-        = service.node.beliefs.table ? service.node.beliefs.table->configuration.version : 0;
-    const bool waitsLong = now() - service.node.followers.configurations.callAt > leaderPause;
-    if (!leader || leader->configuration <= known || !waitsLong)
-        return;
-    Logging::write(Logging::Level::Warning, "configuration_missed",
-        { { "known", known }, { "leader_knows", leader->configuration } });
-    readAnew(service.node, service.node.followers.configurations);
-}
-
 void followTopics(Service& service)
 {
     Node& node = service.node;
@@ -108,12 +89,9 @@
     followers.leader.topic = leaderTopic;
     followers.leader.wait = leaderWait;
     followers.leader.pause = leaderPause;
-    followers.leader.onRecords = [&service](const std::vector<Platform::StoreRecord>& records) {
-        takeLeaderRead(service.node, records);
-        catchUpWithLeader(service);
-    };
+    followers.leader.onRecords
+        = [&node](const std::vector<Platform::StoreRecord>& records) { takeLeaderRead(node, records); };
     followers.leader.onRead = [&node](Utils::Offset end) { noteLeaderEnd(node, end); };
-    followers.reports.onRegained = [&node] { renewLongReads(node); };
     startFollowing(node, followers.configurations);
     startFollowing(node, followers.reports);
     startFollowing(node, followers.assignments);
--- a/src/libs/edge/topicfollower.h
+++ b/src/libs/edge/topicfollower.h
@@ -28,8 +28,6 @@
     std::function<void(const std::vector<Platform::StoreRecord>&, Utils::Offset end)> onSnapshot;
     /// Takes records as they come.
     std::function<void(const std::vector<Platform::StoreRecord>&)> onRecords;
-    /// Called when the store answers again after failures.
-    std::function<void()> onRegained;
     /// Called after each read that was answered.
     std::function<void(Utils::Offset end)> onRead;
     /// Where to read on; nothing before the first snapshot.
@@ -41,8 +39,6 @@
     unsigned failures = 0;
     /// The read under way; 0 during a pause.
     std::uint64_t call = 0;
-    /// When it began.
-    Utils::Instant callAt {};
     /// When a read was last answered.
     Utils::Instant answeredAt {};
     /// Not read for now.
--- a/src/libs/granting/leaderrecord.h
+++ b/src/libs/granting/leaderrecord.h
@@ -3,8 +3,6 @@
 #include <routing/endpoint.h>
 #include <utils/ids.h>
 
-#include <cstdint>
-
 namespace Granting {
 
 /// Who leads, as it stands in the store.
@@ -14,8 +12,6 @@
     Utils::Incarnation incarnation = 0;
     /// Where it takes reports of load.
     Routing::Endpoint reports;
-    /// Version of the configuration that it knows; shows the others that they have missed one.
-    std::uint64_t configuration = 0;
 
     bool operator==(const LeaderRecord&) const = default;
 };
--- a/src/libs/granting/loadreportcodec.cpp
+++ b/src/libs/granting/loadreportcodec.cpp
@@ -1,4 +1,4 @@
-#include <granting/generated/loadreport_generated.h>
+#include <loadreport_generated.h>
 #include <granting/loadreportcodec.h>
 #include <granting/recorderror.h>
 
--- a/src/libs/granting/recordcodec.cpp
+++ b/src/libs/granting/recordcodec.cpp
@@ -68,7 +68,6 @@
     record.incarnation = json::value_to<std::uint64_t>(object.at("incarnation"));
     record.reports.address = json::value_to<std::string>(object.at("address"));
     record.reports.port = json::value_to<std::uint16_t>(object.at("port"));
-    record.configuration = json::value_to<std::uint64_t>(object.at("configuration"));
     return record;
 }
 
@@ -92,8 +91,7 @@
 std::string encodeLeader(const LeaderRecord& record)
 {
     return json::serialize(json::object { { "vm", record.vm.value }, { "incarnation", record.incarnation },
-        { "address", record.reports.address }, { "port", record.reports.port },
-        { "configuration", record.configuration } });
+        { "address", record.reports.address }, { "port", record.reports.port } });
 }
 
 leaf::result<LeaderRecord> decodeLeader(std::string_view text)
--- a/src/libs/relay/framecodec.cpp
+++ b/src/libs/relay/framecodec.cpp
@@ -1,5 +1,5 @@
 #include <relay/framecodec.h>
-#include <relay/generated/relay_generated.h>
+#include <relay_generated.h>
 #include <relay/relayerror.h>
 
 #include <boost/endian/conversion.hpp>
@@ -46,8 +46,11 @@
     std::vector<flatbuffers::Offset<Generated::Record>> records;
     for (const RelayRecord& record : update.records)
         records.push_back(packRecord(builder, record));
+    std::vector<flatbuffers::Offset<flatbuffers::String>> peers;
+    for (const std::string& peer : update.peers)
+        peers.push_back(builder.CreateString(peer));
     return Generated::CreateUpdateDirect(
-        builder, update.leader.c_str(), update.leaderEnd, update.fresh, update.vms, &records)
+        builder, update.leader.c_str(), update.leaderEnd, update.fresh, update.vms, &peers, &records)
         .Union();
 }
 
@@ -77,6 +80,10 @@
             unpacked.value = unpackBytes(*record->value());
         update.records.push_back(std::move(unpacked));
     }
+    if (packed.peers()) {
+        for (const flatbuffers::String* peer : *packed.peers())
+            update.peers.push_back(peer->str());
+    }
     return update;
 }
 
--- a/src/libs/relay/update.h
+++ b/src/libs/relay/update.h
@@ -3,6 +3,7 @@
 #include <relay/relayrecord.h>
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace Relay {
@@ -18,6 +19,8 @@
     /// VMs that take part, the leader included.
     std::uint32_t vms = 1;
     std::vector<RelayRecord> records;
+    /// Addresses of VMs to ask when the leader is lost; empty in most updates.
+    std::vector<std::string> peers;
 
     bool operator==(const Update&) const = default;
 };
--- a/tests/auto/granting/grantworld.cpp
+++ b/tests/auto/granting/grantworld.cpp
@@ -427,7 +427,7 @@
     World world(seed, guards);
     for (unsigned vm = 0; vm < vmCount; ++vm)
         world.vms[vm].leadership.self
-            = { { std::to_string(vm) }, vm, { "10.0.0." + std::to_string(vm), 7000 }, 0 };
+            = { { std::to_string(vm) }, vm, { "10.0.0." + std::to_string(vm), 7000 } };
     const Utils::Instant end = world.now + std::chrono::seconds(seconds);
     for (; world.now < end; world.now += step) {
         runDue(world);
--- a/tests/auto/granting/tst_leadership.cpp
+++ b/tests/auto/granting/tst_leadership.cpp
@@ -13,11 +13,11 @@
 Leadership standby()
 {
     Leadership leadership;
-    leadership.self = { { "a" }, 1, { "10.0.0.1", 7000 }, 0 };
+    leadership.self = { { "a" }, 1, { "10.0.0.1", 7000 } };
     return leadership;
 }
 
-LeaderRecord otherLeader() { return { { "b" }, 9, { "10.0.0.2", 7000 }, 0 }; }
+LeaderRecord otherLeader() { return { { "b" }, 9, { "10.0.0.2", 7000 } }; }
 
 Leadership leading()
 {
@@ -51,8 +51,8 @@
         { "just before drift and margin are over", otherLeader(), bound - 1ms, false },
         { "drift and margin are over", otherLeader(), bound, true },
         { "it has resigned", LeaderRecord {}, 0ms, true },
-        { "an earlier process of this VM", LeaderRecord { { "a" }, 7, { "10.0.0.1", 7000 }, 0 }, 0ms, true },
-        { "the same name at another address", LeaderRecord { { "a" }, 7, { "10.0.0.9", 7000 }, 0 }, 0ms,
+        { "an earlier process of this VM", LeaderRecord { { "a" }, 7, { "10.0.0.1", 7000 } }, 0ms, true },
+        { "the same name at another address", LeaderRecord { { "a" }, 7, { "10.0.0.9", 7000 } }, 0ms,
             false },
     }));
     INFO(row.name);
--- a/tests/auto/granting/tst_recordcodec.cpp
+++ b/tests/auto/granting/tst_recordcodec.cpp
@@ -31,7 +31,7 @@
 TEST_CASE("Records survive the way", "[recordcodec]")
 {
     CHECK(decodeAssignment(encodeAssignment(assignment())).value() == assignment());
-    const LeaderRecord leader { { "a" }, 17, { "10.0.0.1", 7000 }, 12 };
+    const LeaderRecord leader { { "a" }, 17, { "10.0.0.1", 7000 } };
     CHECK(decodeLeader(encodeLeader(leader)).value() == leader);
     CHECK(decodeLeader(encodeLeader({})).value() == LeaderRecord {});
 }
