--- a/src/libs/edge/beliefupdates.cpp
+++ b/src/libs/edge/beliefupdates.cpp
@@ -4,6 +4,7 @@
 #include <edge/leading.h>
 #include <edge/relay.h>
 #include <edge/upstreams.h>
+#include <granting/assignmentdelta.h>
 #include <granting/recordcodec.h>
 #include <granting/recorderror.h>
 #include <logging/log.h>
@@ -115,6 +116,8 @@
     logChange(node, id, change, offset);
     // Keys are placed anew at once.
     node.leader.plannedAt = {};
+    if (change == Routing::DirectoryChange::Added)
+        node.leader.addedAt = now();
     if (change == Routing::DirectoryChange::Removed)
         passOn(
             node, { Relay::RelayTopic::Reports, id.value, std::nullopt, std::max(offset, readUpTo(node)) });
@@ -256,6 +259,23 @@
     flushRelay(node);
 }
 
+bool takeAssignmentDelta(Node& node, const std::string& text)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_AUTO(delta, Granting::decodeDelta(text));
+            const std::optional<Granting::KeyAssignment> next
+                = Granting::applyDelta(node.beliefs.assignments[delta.service], delta);
+            if (next)
+                takeAssignment(node, *next);
+            return next.has_value();
+        },
+        []() {
+            Logging::write(Logging::Level::Error, "assignment_delta_unreadable", {});
+            return false;
+        });
+}
+
 void expireReports(Node& node)
 {
     const std::vector<Utils::UpstreamId> expired = Routing::expireMissing(node.beliefs.directory, now());
--- a/src/libs/edge/beliefupdates.h
+++ b/src/libs/edge/beliefupdates.h
@@ -26,6 +26,9 @@
 /// Puts \a assignment in force unless a later one is.
 void takeAssignment(Node& node, const Granting::KeyAssignment& assignment);
 
+/// Takes what changed in an assignment; false if it does not build on the one in force.
+bool takeAssignmentDelta(Node& node, const std::string& text);
+
 /// Ends the grace of upstreams that are missing.
 void expireReports(Node& node);
 
--- a/src/libs/edge/leaderduty.h
+++ b/src/libs/edge/leaderduty.h
@@ -34,6 +34,10 @@
     bool rereadNeeded = false;
     Utils::Instant startedAt {};
     Utils::Instant plannedAt {};
+    /// When an upstream was last added.
+    Utils::Instant addedAt {};
+    /// The term that has been logged.
+    std::optional<Utils::Offset> announced;
     /// Requests for keys since the last report.
     std::map<Utils::ServiceId, Granting::ServiceKeys> counted;
     boost::asio::steady_timer timer;
--- a/src/libs/edge/leading.cpp
+++ b/src/libs/edge/leading.cpp
@@ -39,9 +39,15 @@
 constexpr Utils::Duration releaseTime = std::chrono::milliseconds(3000);
 /// Between two looks at how keys are placed.
 constexpr Utils::Duration planInterval = std::chrono::milliseconds(700);
-/// Upstreams that start together are waited for before keys are placed for the first time.
-constexpr Utils::Duration firstPlanDelay = std::chrono::milliseconds(1200);
-
+/// Upstreams that start together are waited for before keys are placed for the first time: until none has
+/// come for the one time, at most for the other.
+constexpr Utils::Duration calmBeforePlan = std::chrono::milliseconds(900);
+constexpr Utils::Duration longestPlanDelay = std::chrono::milliseconds(4500);
+
+/// Part of a core with which a VM leads a large fleet; the smallest machines of the site files have a tenth.
+constexpr double strongShare = 0.3;
+/// Quickest answer of a store in the same region; between regions the way alone takes 40 ms.
+constexpr Utils::Duration nearStore = std::chrono::milliseconds(25);
 /// Seconds; work that seems shorter is a mistake of measurement.
 constexpr double shortestWork = 0.001;
 
@@ -79,7 +85,6 @@
         Platform::appendCall(node.settings.store, terms, { Granting::encodeLeader(leadership.self) }),
         appendTime, [&node](StoreOutcome outcome, const std::string& body) {
             Granting::Leadership& leadership = node.leader.leadership;
-            const bool led = leadership.term.has_value();
             if (outcome != StoreOutcome::Done) {
                 resumeFollowing(node, node.followers.leader);
                 if (outcome == StoreOutcome::Unknown || outcome == StoreOutcome::Malformed)
@@ -98,8 +103,6 @@
                     Logging::write(Logging::Level::Error, "append_answer_unreadable", {});
                     Granting::noteAppendUnknown(leadership);
                 });
-            if (!led && leadership.term)
-                logLeading(leadership);
             // Nobody else writes there while the lease is renewed; another's record shows in the next append.
             if (leadership.term && !leadership.doubtfulSince)
                 pauseFollowing(node, node.followers.leader);
@@ -130,10 +133,9 @@
             continue;
         }
         Granting::noteWritten(granter->second, assignment);
+        const Granting::KeyAssignment former = node.beliefs.assignments[assignment.service];
         takeAssignment(node, granter->second.assignment);
-        passOn(node,
-            { Relay::RelayTopic::Assignments, assignment.service.value,
-                Granting::encodeAssignment(granter->second.assignment), offset++ });
+        passOnChanges(node, former, granter->second.assignment, offset++);
     }
     flushRelay(node);
 }
@@ -346,10 +348,21 @@
     }
 }
 
+/// Whether this is a first start at which upstreams are still coming.
+bool isFillingUp(const Node& node, Utils::Instant at)
+{
+    const bool first = std::all_of(node.leader.granters.begin(), node.leader.granters.end(),
+        [](const std::pair<const Utils::ServiceId, Granting::Granter>& granter) {
+            return granter.second.assignment.segments.empty();
+        });
+    return first && at < node.leader.startedAt + longestPlanDelay
+        && at < node.leader.addedAt + calmBeforePlan;
+}
+
 void planAll(Node& node, Utils::Instant at)
 {
-    const bool settled = node.beliefs.directoryLoaded && at >= node.leader.startedAt + firstPlanDelay;
-    if (!settled || node.leader.writing || Granting::isStoreDoubtful(node.leader.leadership, at))
+    if (!node.beliefs.directoryLoaded || (!node.leader.prepared && isFillingUp(node, at))
+        || node.leader.writing || Granting::isStoreDoubtful(node.leader.leadership, at))
         return;
     const bool changed = std::any_of(node.leader.granters.begin(), node.leader.granters.end(),
         [](const std::pair<const Utils::ServiceId, Granting::Granter>& granter) {
@@ -382,6 +395,9 @@
 void lead(Node& node, Utils::Instant at)
 {
     LeaderDuty& leader = node.leader;
+    if (leader.announced != leader.leadership.term)
+        logLeading(leader.leadership);
+    leader.announced = leader.leadership.term;
     if (!leader.assignmentEnd || leader.rereadNeeded) {
         if (!leader.preparing)
             readAssignments(node);
@@ -395,10 +411,16 @@
         grantDue(node, at);
 }
 
+/// When this VM claims a free lease, among all: VMs with a large part of a core and near the store come
+/// first, as a leader makes most calls to the store and to holders of keys.
 double claimPosition(const Node& node)
 {
     constexpr double range = 65536;
-    return static_cast<double>(Utils::stableHash(node.settings.name.value, node.incarnation) % 65536) / range;
+    const double chance
+        = static_cast<double>(Utils::stableHash(node.settings.name.value, node.incarnation) % 65536) / range;
+    const double weak = node.settings.coreShare < strongShare ? 0.5 : 0;
+    const double far = node.storeTime > nearStore ? 0.25 : 0;
+    return weak + far + chance / 4;
 }
 
 void tick(Node& node)
--- a/src/libs/edge/node.h
+++ b/src/libs/edge/node.h
@@ -33,6 +33,8 @@
     Routing::VmSettings settings;
     Utils::Incarnation incarnation;
     CallPool calls;
+    /// Quickest answer of the store so far.
+    Utils::Duration storeTime = std::chrono::seconds(1);
     Followers followers;
     Relaying relaying;
     Beliefs beliefs;
--- a/src/libs/edge/relay.cpp
+++ b/src/libs/edge/relay.cpp
@@ -3,6 +3,7 @@
 #include <edge/following.h>
 #include <edge/leading.h>
 #include <edge/relay.h>
+#include <granting/assignmentdelta.h>
 #include <granting/loadreportcodec.h>
 #include <granting/recordcodec.h>
 #include <logging/log.h>
@@ -140,6 +141,8 @@
         return record.offset >= subscription.reports;
     case RelayTopic::Assignments:
         return record.offset >= subscription.assignments;
+    case RelayTopic::AssignmentDeltas:
+        return false;
     }
     return false;
 }
@@ -187,7 +190,8 @@
         follower.next = std::max(*follower.next, offset + 1);
 }
 
-void takeRecord(Node& node, const Relay::RelayRecord& record)
+/// False if what the record builds on is not known here.
+bool takeRecord(Node& node, const Relay::RelayRecord& record)
 {
     switch (record.topic) {
     case RelayTopic::Configurations:
@@ -205,7 +209,14 @@
         takeAssignments(node, { toStoreRecord(record) });
         advance(node.followers.assignments, record.offset);
         break;
+    case RelayTopic::AssignmentDeltas:
+        if (takeAssignmentDelta(node, record.value.value_or("")))
+            advance(node.followers.assignments, record.offset);
+        else
+            return false;
+        break;
     }
+    return true;
 }
 
 void readStore(Node& node)
@@ -247,8 +258,14 @@
         loseLink(node, link, "leader_unreadable");
         return;
     }
-    for (const Relay::RelayRecord& record : update.records)
-        takeRecord(node, record);
+    for (const Relay::RelayRecord& record : update.records) {
+        if (takeRecord(node, record))
+            continue;
+        // A new subscription brings what is missing.
+        loseLink(node, link, "delta_without_base");
+        node.relaying.triedAt = {};
+        return;
+    }
     if (!update.peers.empty())
         node.relaying.peers = update.peers;
     Granting::noteRead(node.leader.leadership, update.leaderEnd, leader, now());
@@ -460,6 +477,20 @@
     node.relaying.unsent.push_back(std::move(record));
 }
 
+void passOnChanges(Node& node, const Granting::KeyAssignment& former, const Granting::KeyAssignment& next,
+    Utils::Offset offset)
+{
+    if (former.segments.empty()) {
+        passOn(node,
+            { Relay::RelayTopic::Assignments, next.service.value, Granting::encodeAssignment(next), offset });
+        return;
+    }
+    node.relaying.newest[{ Relay::RelayTopic::Assignments, next.service.value }]
+        = { Relay::RelayTopic::Assignments, next.service.value, Granting::encodeAssignment(next), offset };
+    node.relaying.unsent.push_back({ Relay::RelayTopic::AssignmentDeltas, next.service.value,
+        Granting::encodeDelta(Granting::deltaBetween(former, next)), offset });
+}
+
 void flushRelay(Node& node)
 {
     std::vector<Relay::RelayRecord> records = std::move(node.relaying.unsent);
--- a/src/libs/edge/relay.h
+++ b/src/libs/edge/relay.h
@@ -13,6 +13,10 @@
 /// Notes a record that changed something; the leader passes it on.
 void passOn(Node& node, Relay::RelayRecord record);
 
+/// Notes an assignment of which the VMs that take part know \a former; they are told what has changed.
+void passOnChanges(Node& node, const Granting::KeyAssignment& former, const Granting::KeyAssignment& next,
+    Utils::Offset offset);
+
 /// Sends what passOn() noted; called after a batch.
 void flushRelay(Node& node);
 
--- a/src/libs/edge/storecaller.cpp
+++ b/src/libs/edge/storecaller.cpp
@@ -1,5 +1,8 @@
+#include <edge/clock.h>
 #include <edge/storecaller.h>
 
+#include <algorithm>
+
 namespace Edge {
 
 namespace Internal {
@@ -25,7 +28,9 @@
     Node& node, Platform::HttpRequest request, Utils::Duration timeout, StoreHandler handler)
 {
     return startCall(node.calls, node.settings.store, std::move(request), timeout,
-        [&node, handler = std::move(handler)](CallReply reply) {
+        [&node, handler = std::move(handler), sentAt = now()](CallReply reply) {
+            if (reply.outcome == CallOutcome::Answered)
+                node.storeTime = std::min(node.storeTime, now() - sentAt);
             const Platform::StoreOutcome outcome = Internal::outcomeOf(reply);
             node.counters.storeCalls.add(outcome);
             handler(outcome, std::move(reply.body));
--- a/src/libs/granting/grantingconstants.h
+++ b/src/libs/granting/grantingconstants.h
@@ -16,8 +16,8 @@
 inline constexpr double clockDrift = 0.02;
 /// Added to every wait for another's time to end, for timers that fire late.
 inline constexpr Utils::Duration expiryMargin = std::chrono::milliseconds(150);
-/// Largest spread of claims to a lapsed lease, so that one VM is usually first.
-inline constexpr Utils::Duration claimSpread = std::chrono::milliseconds(250);
+/// Largest spread of claims to a lease, so that one VM is usually first, and one with a large part of a core.
+inline constexpr Utils::Duration claimSpread = std::chrono::milliseconds(600);
 /// A renewal without an answer for this long means that the store can't be relied upon.
 inline constexpr Utils::Duration storeDoubt = std::chrono::milliseconds(450);
 
--- a/src/libs/granting/leadership.cpp
+++ b/src/libs/granting/leadership.cpp
@@ -27,11 +27,11 @@
 
 bool isClaimDue(const Leadership& leadership, double spread, Utils::Instant now)
 {
-    if (!leadership.last || isOwn(leadership, *leadership.last) || hasEnded(leadership, *leadership.last))
+    const Utils::Duration turn(static_cast<std::int64_t>(static_cast<double>(claimSpread.count()) * spread));
+    if (leadership.last && isOwn(leadership, *leadership.last))
         return true;
-    const Utils::Duration wait = lengthened(leaseTime)
-        + Utils::Duration(static_cast<std::int64_t>(static_cast<double>(claimSpread.count()) * spread));
-    return now >= leadership.lastSeenAt + wait;
+    const bool free = !leadership.last || hasEnded(leadership, *leadership.last);
+    return now >= leadership.lastSeenAt + (free ? Utils::Duration::zero() : lengthened(leaseTime)) + turn;
 }
 
 } // namespace Internal
--- a/src/libs/granting/planplacement.cpp
+++ b/src/libs/granting/planplacement.cpp
@@ -19,7 +19,12 @@
 constexpr double ratioToFill = 0.25;
 /// Requests a second that are worth a move.
 constexpr double leastMove = 0.2;
-constexpr std::size_t mostMovesAtOnce = 8;
+/// Moves in one plan: for few upstreams, and for each of many.
+constexpr std::size_t fewMoves = 8;
+constexpr std::size_t upstreamsPerMove = 4;
+/// Use, as a multiple of the mean, up to which a neighbour takes keys before any other: its span grows, and
+/// no call more is needed to renew it.
+constexpr double neighbourUse = 1.1;
 /// Chunks that the keys of a lost upstream are dealt in, for each upstream that is left.
 constexpr double chunksEach = 3;
 
@@ -165,6 +170,21 @@
         });
 }
 
+/// The holder of the span beside the one at \a index, if it is an upstream that has room for \a moved.
+const KeyServer* neighbourFor(const Plan& plan, std::size_t index, bool before, double moved)
+{
+    const bool exists = before ? index > 0 : index + 1 < plan.placements.size();
+    if (!exists)
+        return nullptr;
+    const Utils::UpstreamId& holder = plan.placements[before ? index - 1 : index + 1].holder;
+    const auto found = std::find_if(plan.servers.begin(), plan.servers.end(),
+        [&holder](const KeyServer& server) { return server.id == holder; });
+    if (found == plan.servers.end())
+        return nullptr;
+    const double mean = plan.total / plan.totalCapacity;
+    return useOf(plan, *found) + moved / found->capacity <= mean * neighbourUse ? &*found : nullptr;
+}
+
 /// Positions of the donor's spans, those with the most load first.
 std::vector<std::size_t> spansOf(const Plan& plan, const Utils::UpstreamId& donor)
 {
@@ -207,7 +227,8 @@
             { firstKeyWithin(plan, whole, excess), whole.last } };
         for (const Routing::KeySpan& piece : pieces) {
             const double moved = loadOf(plan, piece);
-            const KeyServer& receiver = receiverFor(plan, moved);
+            const KeyServer* const neighbour = neighbourFor(plan, index, piece.first == whole.first, moved);
+            const KeyServer& receiver = neighbour ? *neighbour : receiverFor(plan, moved);
             const bool better = receiver.id != donor.id
                 && useOf(plan, receiver) + moved / receiver.capacity < before - moved / donor.capacity / 2;
             if (!better || moved < leastMove)
@@ -262,7 +283,8 @@
         Internal::makeFirst(plan);
     Internal::countLoads(plan);
     Internal::dealOrphans(plan);
-    for (std::size_t moves = 0; moves < Internal::mostMovesAtOnce; ++moves) {
+    const std::size_t mostMoves = std::max(Internal::fewMoves, servers.size() / Internal::upstreamsPerMove);
+    for (std::size_t moves = 0; moves < mostMoves; ++moves) {
         if (!Internal::moveOne(plan))
             break;
     }
--- a/src/libs/platform/settingsfile.cpp
+++ b/src/libs/platform/settingsfile.cpp
@@ -84,6 +84,7 @@
     BOOST_LEAF_ASSIGN(settings.store, Internal::endpointAt(table, "platform.platform.address"));
     settings.firstInternalPort = table.at_path("network.internal_ports[0]").value_or(std::uint16_t(0));
     settings.lastInternalPort = table.at_path("network.internal_ports[1]").value_or(std::uint16_t(0));
+    settings.coreShare = table.at_path("self.limits.cpu_share").value_or(settings.coreShare);
     settings.memoryMegabytes = table.at_path("self.limits.memory_mb").value_or(settings.memoryMegabytes);
     settings.maxDescriptors = table.at_path("self.limits.max_fds").value_or(settings.maxDescriptors);
     BOOST_LEAF_ASSIGN(settings.bounds, Internal::readBounds(table));
--- a/src/libs/relay/relaytopic.h
+++ b/src/libs/relay/relaytopic.h
@@ -13,12 +13,15 @@
     /// Reports of upstreams; only those that change what is believed of one.
     Reports,
     Assignments,
+    /// What changed in an assignment since the last that was passed on.
+    AssignmentDeltas,
 };
 
-inline constexpr std::array<Utils::EnumName<RelayTopic>, 3> relayTopicNames { {
+inline constexpr std::array<Utils::EnumName<RelayTopic>, 4> relayTopicNames { {
     { RelayTopic::Configurations, "configurations" },
     { RelayTopic::Reports, "reports" },
     { RelayTopic::Assignments, "assignments" },
+    { RelayTopic::AssignmentDeltas, "assignment_deltas" },
 } };
 
 } // namespace Relay
--- a/src/libs/routing/vmsettings.h
+++ b/src/libs/routing/vmsettings.h
@@ -24,6 +24,8 @@
     std::uint16_t firstInternalPort = 0;
     std::uint16_t lastInternalPort = 0;
     Endpoint store;
+    /// Part of a core that this VM has.
+    double coreShare = 0.2;
     unsigned memoryMegabytes = 256;
     unsigned maxDescriptors = 1024;
     Bounds bounds;
