Deflate what is passed on, join configurations in quick succession, and find out sooner that the leader is cut off

(3) An idempotent request for a key was given up after four times its expected time and sent to the same holder again, at the end of its queue.

--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -145,8 +145,10 @@
     const Exchange& exchange, std::size_t candidates, Utils::Duration expected, Utils::Duration timeLeft)
 {
     const Utils::Duration patience = std::max(expected * attemptTimes, shortestAttempt);
+    // A key has one holder: giving it up there and asking again only moves the request to the end of its
+    // queue.
     const bool another = Routing::isIdempotent(exchange.route->kind)
-        && exchange.sent < exchange.route->maxAttempts && (candidates > 1 || exchange.service->keyed);
+        && exchange.sent < exchange.route->maxAttempts && candidates > 1;
     return another && timeLeft - patience >= expected ? patience : timeLeft;
 }
 
--- a/src/libs/edge/leading.cpp
+++ b/src/libs/edge/leading.cpp
@@ -112,6 +112,7 @@
 std::vector<std::string> encodeRecords(const std::vector<Granting::KeyAssignment>& assignments)
 {
     std::vector<std::string> records;
+    records.reserve(assignments.size());
     for (const Granting::KeyAssignment& assignment : assignments)
         records.push_back(
             Platform::keyedRecord(assignment.service.value, Granting::encodeAssignment(assignment)));
@@ -310,6 +311,7 @@
 std::vector<Granting::KeyPlacement> placementsOf(const Granting::KeyAssignment& assignment)
 {
     std::vector<Granting::KeyPlacement> placements;
+    placements.reserve(assignment.segments.size());
     for (const Granting::Segment& segment : assignment.segments)
         placements.push_back({ segment.span, segment.holder });
     return placements;
--- a/src/libs/edge/relay.cpp
+++ b/src/libs/edge/relay.cpp
@@ -20,6 +20,9 @@
 
 namespace leaf = boost::leaf;
 
+/// Between two configurations that are passed on; a small part of the time in which one is to be in force.
+constexpr Utils::Duration configurationInterval = std::chrono::milliseconds(500);
+
 namespace Internal {
 
 using ErrorCode = boost::system::error_code;
@@ -29,7 +32,7 @@
 /// Between two looks at the link to the leader.
 constexpr Utils::Duration relayTick = std::chrono::milliseconds(200);
 /// Longest silence of a leader that has nothing new to say.
-constexpr Utils::Duration wordInterval = std::chrono::milliseconds(400);
+constexpr Utils::Duration wordInterval = std::chrono::milliseconds(300);
 /// A leader that is silent for longer is not relied upon: two of its words may be late, and with what follows
 /// a change still arrives within the bounds of the platform.
 constexpr Utils::Duration longestSilence = std::chrono::milliseconds(1000);
@@ -41,8 +44,9 @@
 constexpr std::size_t mostPeers = 32;
 /// A VM that does not take what it is sent is dropped at this point, and reads the store itself.
 constexpr std::size_t mostOutboxBytes = std::size_t(8) << 20;
-/// The leader's own reads of the store are taken for fresh for this long; it reads at least once a second.
-constexpr Utils::Duration freshFor = std::chrono::milliseconds(2000);
+/// The leader's own reads of the store are taken for fresh for this long; one waits 700 ms for records, and
+/// the way to the store may take 40 ms. A leader that is cut off from it silently is found out by this.
+constexpr Utils::Duration freshFor = std::chrono::milliseconds(1150);
 
 void readFrames(Node& node, const LinkPtr& link);
 void loseLink(Node& node, const LinkPtr& link, const char* why);
@@ -429,6 +433,7 @@
 {
     const Utils::Instant at = now();
     if (Granting::mayLead(node.leader.leadership, at)) {
+        flushRelay(node);
         if (at - node.relaying.saidAt >= wordInterval)
             sendToAll(node, {});
     }
@@ -493,9 +498,25 @@
 
 void flushRelay(Node& node)
 {
-    std::vector<Relay::RelayRecord> records = std::move(node.relaying.unsent);
-    node.relaying.unsent.clear();
-    if (!records.empty() && Granting::mayLead(node.leader.leadership, now()))
+    const Utils::Instant at = now();
+    std::vector<Relay::RelayRecord>& unsent = node.relaying.unsent;
+    if (!Granting::mayLead(node.leader.leadership, at)) {
+        unsent.clear();
+        return;
+    }
+    // Configurations in quick succession are as good as the last of them, and may be large.
+    const bool early = at - node.relaying.configuredAt < configurationInterval;
+    const auto isConfiguration
+        = [](const Relay::RelayRecord& record) { return record.topic == Relay::RelayTopic::Configurations; };
+    const auto later = std::stable_partition(unsent.begin(), unsent.end(),
+        [&](const Relay::RelayRecord& record) { return !early || !isConfiguration(record); });
+    std::vector<Relay::RelayRecord> records(unsent.begin(), later);
+    unsent.erase(unsent.begin(), later);
+    if (unsent.size() > 1)
+        unsent.erase(unsent.begin(), unsent.end() - 1);
+    if (std::any_of(records.begin(), records.end(), isConfiguration))
+        node.relaying.configuredAt = at;
+    if (!records.empty())
         Internal::sendToAll(node, std::move(records));
 }
 
--- a/src/libs/edge/relaying.h
+++ b/src/libs/edge/relaying.h
@@ -42,6 +42,8 @@
     std::uint32_t vms = 0;
     /// The newest record of each key that changed something.
     std::map<std::pair<Relay::RelayTopic, std::string>, Relay::RelayRecord> newest;
+    /// When a configuration was last passed on.
+    Utils::Instant configuredAt {};
     /// What has not been passed on yet.
     std::vector<Relay::RelayRecord> unsent;
     Utils::Instant saidAt {};
--- a/src/libs/edge/service.cpp
+++ b/src/libs/edge/service.cpp
@@ -27,8 +27,8 @@
 /// Reads wait this long for a record. They also show that the store can be read; one that waits while the
 /// store turns VMs away may hear nothing, so that this is part of the time in which a change comes into
 /// force.
-constexpr Utils::Duration reportsWait = std::chrono::milliseconds(1000);
-constexpr Utils::Duration configurationsWait = std::chrono::milliseconds(1000);
+constexpr Utils::Duration reportsWait = std::chrono::milliseconds(700);
+constexpr Utils::Duration configurationsWait = std::chrono::milliseconds(700);
 constexpr Utils::Duration leaderWait = std::chrono::seconds(3);
 /// Upstreams that change together are read together; leaves most of the drain bound.
 constexpr Utils::Duration reportsPause = std::chrono::milliseconds(150);
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -253,7 +253,7 @@
         idle.pop_back();
         if (found == node.traffic.connections.end())
             continue;
-        const ConnectionPtr connection = found->second;
+        ConnectionPtr connection = found->second;
         const Utils::Duration age = now() - connection->idleSince;
         const bool young = std::chrono::duration<double>(age) < connection->keepAlive * part;
         if (young && !hasInput(connection->socket))
--- a/src/libs/platform/storecalls.cpp
+++ b/src/libs/platform/storecalls.cpp
@@ -92,15 +92,13 @@
     if (!item.is_object())
         return unreadable();
     const json::object& object = item.get_object();
-    StoreRecord record;
-    BOOST_LEAF_ASSIGN(record.key, textIn(object, "key"));
-    BOOST_LEAF_ASSIGN(record.offset, numberIn(object, "offset"));
+    BOOST_LEAF_AUTO(key, textIn(object, "key"));
+    BOOST_LEAF_AUTO(offset, numberIn(object, "offset"));
     const json::value* value = object.if_contains("value");
     if (!value || !value->is_string())
-        return record;
+        return StoreRecord { offset, key, std::nullopt };
     BOOST_LEAF_AUTO(bytes, decodeBase64(std::string_view(value->get_string())));
-    record.value = std::move(bytes);
-    return record;
+    return StoreRecord { offset, key, std::move(bytes) };
 }
 
 } // namespace Internal
--- /dev/null
+++ b/src/libs/relay/deflation.cpp
@@ -0,0 +1,44 @@
+#include <relay/deflation.h>
+#include <relay/relayerror.h>
+
+#include <boost/beast/zlib/deflate_stream.hpp>
+#include <boost/beast/zlib/inflate_stream.hpp>
+#include <boost/leaf/error.hpp>
+
+namespace Relay::Internal {
+
+namespace zlib = boost::beast::zlib;
+
+std::string deflateBytes(std::string_view bytes)
+{
+    zlib::deflate_stream stream;
+    std::string deflated(stream.upper_bound(bytes.size()), '\0');
+    zlib::z_params params;
+    params.next_in = bytes.data();
+    params.avail_in = bytes.size();
+    params.next_out = deflated.data();
+    params.avail_out = deflated.size();
+    boost::beast::error_code error;
+    stream.write(params, zlib::Flush::finish, error);
+    deflated.resize(params.total_out);
+    return deflated;
+}
+
+boost::leaf::result<std::string> inflateBytes(std::string_view deflated, std::size_t size)
+{
+    zlib::inflate_stream stream;
+    std::string bytes(size, '\0');
+    zlib::z_params params;
+    params.next_in = deflated.data();
+    params.avail_in = deflated.size();
+    params.next_out = bytes.data();
+    params.avail_out = bytes.size();
+    boost::beast::error_code error;
+    stream.write(params, zlib::Flush::finish, error);
+    const bool whole = (!error || error == zlib::error::end_of_stream) && params.total_out == size;
+    if (!whole)
+        return boost::leaf::new_error(RelayError::Malformed);
+    return bytes;
+}
+
+} // namespace Relay::Internal
--- a/src/libs/relay/framecodec.cpp
+++ b/src/libs/relay/framecodec.cpp
@@ -1,3 +1,4 @@
+#include <relay/deflation.h>
 #include <relay/framecodec.h>
 #include <relay_generated.h>
 #include <relay/relayerror.h>
@@ -12,6 +13,7 @@
 namespace Internal {
 
 constexpr std::size_t lengthBytes = 4;
+constexpr std::uint32_t deflatedBit = 0x80000000;
 
 using Builder = flatbuffers::FlatBufferBuilder;
 using Bytes = flatbuffers::Vector<std::uint8_t>;
@@ -87,6 +89,32 @@
     return update;
 }
 
+std::string lengthText(std::size_t length)
+{
+    std::string bytes(lengthBytes, '\0');
+    boost::endian::store_big_u32(
+        reinterpret_cast<unsigned char*>(bytes.data()), static_cast<std::uint32_t>(length));
+    return bytes;
+}
+
+std::uint32_t lengthIn(std::string_view bytes)
+{
+    return boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(bytes.data()));
+}
+
+/// The FlatBuffer in a frame's \a bytes.
+leaf::result<std::string> packedFrame(const std::string& bytes, bool deflated)
+{
+    if (!deflated)
+        return bytes;
+    if (bytes.size() < lengthBytes)
+        return leaf::new_error(RelayError::Malformed);
+    const std::size_t size = lengthIn(bytes);
+    if (size > mostFrameBytes)
+        return leaf::new_error(RelayError::TooLong);
+    return inflateBytes(std::string_view(bytes).substr(lengthBytes), size);
+}
+
 leaf::result<Frame> unpackFrame(std::string_view bytes)
 {
     flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
@@ -111,25 +139,30 @@
     const flatbuffers::Offset<void> body
         = std::visit([&builder](const auto& value) { return Internal::packBody(builder, value); }, frame);
     builder.Finish(Generated::CreateFrame(builder, Internal::typeOf(frame), body));
-    std::string bytes(Internal::lengthBytes, '\0');
-    boost::endian::store_big_u32(
-        reinterpret_cast<unsigned char*>(bytes.data()), static_cast<std::uint32_t>(builder.GetSize()));
-    return bytes.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+    const std::string_view packed(
+        reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+    if (packed.size() <= plainFrameBytes)
+        return Internal::lengthText(packed.size()).append(packed);
+    const std::string deflated = Internal::deflateBytes(packed);
+    return Internal::lengthText((Internal::lengthBytes + deflated.size()) | Internal::deflatedBit)
+        .append(Internal::lengthText(packed.size()))
+        .append(deflated);
 }
 
 leaf::result<std::optional<Frame>> takeFrame(std::string& stream)
 {
     if (stream.size() < Internal::lengthBytes)
         return std::optional<Frame>();
-    const std::size_t length
-        = boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(stream.data()));
+    const std::uint32_t head = Internal::lengthIn(stream);
+    const std::size_t length = head & ~Internal::deflatedBit;
     if (length > mostFrameBytes)
         return leaf::new_error(RelayError::TooLong);
     if (stream.size() < Internal::lengthBytes + length)
         return std::optional<Frame>();
     const std::string bytes = stream.substr(Internal::lengthBytes, length);
     stream.erase(0, Internal::lengthBytes + length);
-    BOOST_LEAF_AUTO(frame, Internal::unpackFrame(bytes));
+    BOOST_LEAF_AUTO(packed, Internal::packedFrame(bytes, (head & Internal::deflatedBit) != 0));
+    BOOST_LEAF_AUTO(frame, Internal::unpackFrame(packed));
     return std::optional<Frame>(std::move(frame));
 }
 
--- a/tests/auto/relay/tst_framecodec.cpp
+++ b/tests/auto/relay/tst_framecodec.cpp
@@ -66,6 +66,25 @@
     CHECK(stream.empty());
 }
 
+TEST_CASE("A large configuration is passed on in a small part of its size", "[framecodec]")
+{
+    // kuoo-brama-grown scale-1: 840 routes more, 63 VMs and 60 Mbit/s between the regions.
+    std::string text;
+    for (unsigned route = 0; route < 840; ++route) {
+        text += R"({"name":"r-)" + std::to_string(route * 7919 % 100003)
+            + R"(","kind":"safe","target_latency":"800ms","priority":1,"match":{"path_prefix":"/p)"
+            + std::to_string(route * 104729 % 100003)
+            + R"(/"},"action":{"service":"yeda6a","timeout":"1200ms","max_attempts":2}},)";
+    }
+    Update update;
+    update.records = { { RelayTopic::Configurations, "config", text, 6 } };
+    std::string stream = encodeFrame(update);
+    CHECK(stream.size() * 5 < text.size());
+    const Taken taken = take(stream);
+    REQUIRE(taken.frame);
+    CHECK(*taken.frame == Frame(update));
+}
+
 TEST_CASE("What is no frame is told", "[framecodec]")
 {
     struct Row {
@@ -75,6 +94,8 @@
     };
     const Row row = GENERATE(values<Row>({
         { "too long", std::string("\x7f\xff\xff\xff", 4), RelayError::TooLong },
+        { "inflates too long", std::string("\x80\0\0\4\x7f\xff\xff\xff", 8), RelayError::TooLong },
+        { "deflated noise", std::string("\x80\0\0\x0c\0\0\0\x40", 8) + "noise-8b", RelayError::Malformed },
         { "no table", std::string("\0\0\0\4\0\0\0\0", 8), RelayError::Malformed },
         { "noise", std::string("\0\0\0\x08", 4) + "noise-8b", RelayError::Malformed },
     }));
