--- a/src/libs/edge/following.cpp
+++ b/src/libs/edge/following.cpp
@@ -19,6 +19,9 @@
 
 /// Time for an answer beyond the time that the store may wait; a slow store takes a third of a second.
 constexpr Utils::Duration answerTime = std::chrono::milliseconds(1200);
+/// Time for the newest of all keys, which may be hundreds of kilobytes over a link that all share. Cutting it
+/// off sooner would only have it sent again; a connection that has gone silent ends by itself.
+constexpr Utils::Duration snapshotTime = std::chrono::milliseconds(5000);
 /// Pauses after failures, the first and the longest.
 constexpr Utils::Duration firstRetry = std::chrono::milliseconds(150);
 constexpr Utils::Duration longestRetry = std::chrono::milliseconds(600);
@@ -101,15 +104,16 @@
         return;
     }
     follower.next = end;
+    follower.renew = false;
     follower.onSnapshot(records, end);
-    readOn(node, follower);
+    readAfter(node, follower, follower.pause);
 }
 
 void readSnapshot(Node& node, TopicFollower& follower)
 {
     const std::string after = follower.pages.empty() ? std::string() : follower.pages.back().key;
     follower.call = callStore(node, Platform::newestCall(node.settings.store, follower.topic, after),
-        answerTime, [&node, &follower](StoreOutcome outcome, const std::string& body) {
+        snapshotTime, [&node, &follower](StoreOutcome outcome, const std::string& body) {
             follower.call = 0;
             if (outcome != StoreOutcome::Done) {
                 follower.pages.clear();
@@ -187,7 +191,7 @@
     const bool keyed = Platform::isKeyed(follower.topic);
     if (!follower.next && !keyed)
         follower.next = 0;
-    if (follower.next)
+    if (follower.next && !follower.renew)
         readRecords(node, follower);
     else
         readSnapshot(node, follower);
@@ -213,6 +217,7 @@
         return;
     follower.paused = false;
     follower.failures = 0;
+    follower.renew = follower.newestOnly;
     Internal::readOn(node, follower);
 }
 
--- /dev/null
+++ b/src/libs/edge/keyplanning.cpp
@@ -0,0 +1,122 @@
+#include <edge/assignmentrecords.h>
+#include <edge/keyplanning.h>
+#include <edge/leadershiplog.h>
+#include <granting/planplacement.h>
+
+#include <algorithm>
+
+namespace Edge {
+
+namespace Internal {
+
+/// Between two looks at how keys are placed.
+constexpr Utils::Duration planInterval = std::chrono::milliseconds(700);
+
+/// Upstreams that start together are waited for before keys are placed for the first time: until none has
+/// come for the one time, at most for the other.
+constexpr Utils::Duration calmBeforePlan = std::chrono::milliseconds(900);
+
+constexpr Utils::Duration longestPlanDelay = std::chrono::milliseconds(4500);
+
+/// Seconds; work that seems shorter is a mistake of measurement.
+constexpr double shortestWork = 0.001;
+
+std::vector<Granting::KeyServer> serversOf(Node& node, const Granting::Granter& granter, Utils::Instant at)
+{
+    std::vector<Granting::KeyServer> servers;
+    const Utils::ServiceId& service = granter.assignment.service;
+    const Balancing::ServiceStats& stats = node.traffic.stats[service];
+    const Routing::UpstreamDirectory& directory = node.beliefs.directory;
+    for (auto it = directory.entries.begin(); it != directory.entries.end(); ++it) {
+        const Routing::DirectoryEntry& entry = it->second;
+        if (entry.record.service != service || !Routing::isUsable(entry)
+            || Granting::isLost(granter, it->first, at))
+            continue;
+        const double seconds = std::chrono::duration<double>(stats.serviceTime).count()
+            * node.traffic.links[it->first].load.slowness;
+        servers.push_back({ it->first, entry.record.slots / std::max(seconds, shortestWork) });
+    }
+    std::sort(servers.begin(), servers.end(),
+        [](const Granting::KeyServer& one, const Granting::KeyServer& other) { return one.id < other.id; });
+    return servers;
+}
+
+std::vector<Granting::KeyPlacement> placementsOf(const Granting::KeyAssignment& assignment)
+{
+    std::vector<Granting::KeyPlacement> placements;
+    placements.reserve(assignment.segments.size());
+    for (const Granting::Segment& segment : assignment.segments)
+        placements.push_back({ segment.span, segment.holder });
+    return placements;
+}
+
+std::optional<Granting::KeyAssignment> nextRecordFor(
+    Node& node, Granting::Granter& granter, Utils::Instant at)
+{
+    Granting::KeyLoad& load = node.leader.loads[granter.assignment.service];
+    Granting::decay(load, at);
+    Granting::forgetDoubts(granter, at);
+    const std::optional<std::vector<Granting::KeyPlacement>> plan
+        = Granting::planPlacement(placementsOf(granter.assignment), serversOf(node, granter, at), load);
+    if (!plan && !granter.changed && node.leader.prepared)
+        return std::nullopt;
+    if (granter.assignment.segments.empty() && !plan)
+        return std::nullopt;
+    Granting::KeyAssignment record = Granting::nextRecord(granter, plan);
+    if (plan)
+        logPlan(granter.assignment, record);
+    granter.changed = false;
+    return record;
+}
+
+void addGranters(Node& node)
+{
+    if (!node.beliefs.table)
+        return;
+    const std::map<Utils::ServiceId, Routing::Service>& services = node.beliefs.table->configuration.services;
+    for (auto it = services.begin(); it != services.end(); ++it) {
+        if (!it->second.keyed || node.leader.granters.contains(it->first))
+            continue;
+        Granting::Granter& granter = node.leader.granters[it->first];
+        granter.assignment.service = it->first;
+        granter.assignment.term = *node.leader.leadership.term;
+    }
+}
+
+/// Whether this is a first start at which upstreams are still coming.
+bool isFillingUp(const Node& node, Utils::Instant at)
+{
+    const bool first = std::all_of(node.leader.granters.begin(), node.leader.granters.end(),
+        [](const std::pair<const Utils::ServiceId, Granting::Granter>& granter) {
+            return granter.second.assignment.segments.empty();
+        });
+    return first && at < node.leader.startedAt + longestPlanDelay
+        && at < node.leader.addedAt + calmBeforePlan;
+}
+
+void planAll(Node& node, Utils::Instant at)
+{
+    if (!node.beliefs.directoryLoaded || (!node.leader.prepared && isFillingUp(node, at))
+        || node.leader.writing || Granting::isStoreDoubtful(node.leader.leadership, at))
+        return;
+    const bool changed = std::any_of(node.leader.granters.begin(), node.leader.granters.end(),
+        [](const std::pair<const Utils::ServiceId, Granting::Granter>& granter) {
+            return granter.second.changed;
+        });
+    if (!changed && node.leader.prepared && at - node.leader.plannedAt < planInterval)
+        return;
+    node.leader.plannedAt = at;
+    addGranters(node);
+    std::vector<Granting::KeyAssignment> records;
+    for (auto it = node.leader.granters.begin(); it != node.leader.granters.end(); ++it) {
+        std::optional<Granting::KeyAssignment> record = nextRecordFor(node, it->second, at);
+        if (record)
+            records.push_back(std::move(*record));
+    }
+    if (!records.empty())
+        writeAssignments(node, std::move(records));
+}
+
+} // namespace Internal
+
+} // namespace Edge
--- a/src/libs/edge/node.h
+++ b/src/libs/edge/node.h
@@ -14,6 +14,9 @@
 
 namespace Edge {
 
+/// Quickest answer of a store in the same region; between regions the way alone takes 40 ms.
+inline constexpr Utils::Duration nearStore = std::chrono::milliseconds(25);
+
 /// All state of one VM. One thread runs everything: a VM has a fifth of a core, and handing work from thread
 /// to thread costs more there than it gains.
 struct Node {
--- a/src/libs/edge/relay.cpp
+++ b/src/libs/edge/relay.cpp
@@ -48,6 +48,11 @@
 /// the way to the store may take 40 ms. A leader that is cut off from it silently is found out by this.
 constexpr Utils::Duration freshFor = std::chrono::milliseconds(1150);
 
+/// Bytes of a configuration that are much for the links between regions when many VMs fetch them.
+constexpr std::size_t largeConfiguration = 50000;
+/// Most of a lease: another VM is likely to lead by then.
+constexpr Utils::Duration largePause = std::chrono::milliseconds(1500);
+
 void readFrames(Node& node, const LinkPtr& link);
 void loseLink(Node& node, const LinkPtr& link, const char* why);
 
@@ -223,11 +228,24 @@
     return true;
 }
 
+/// Load pattern: a leader is lost while a large configuration changes again and again, and all VMs of the
+/// other regions fetch it over the links between regions. They fetch the newest, and the next one only after
+/// a pause.
+Utils::Duration configurationPause(const Node& node)
+{
+    const auto found
+        = node.relaying.newest.find({ RelayTopic::Configurations, std::string(Platform::configurationKey) });
+    const bool large = found != node.relaying.newest.end() && found->second.value
+        && found->second.value->size() > largeConfiguration;
+    return large && node.storeTime > nearStore ? largePause : Utils::Duration::zero();
+}
+
 void readStore(Node& node)
 {
     if (!node.relaying.relied)
         return;
     node.relaying.relied = false;
+    node.followers.configurations.pause = configurationPause(node);
     Logging::write(Logging::Level::Warning, "dependency_lost", { { "dependency", "leader" } });
     resumeFollowing(node, node.followers.leader);
     resumeFollowing(node, node.followers.reports);
--- a/src/libs/edge/service.cpp
+++ b/src/libs/edge/service.cpp
@@ -69,6 +69,7 @@
     Followers& followers = node.followers;
     followers.configurations.topic = Platform::operatorTopic;
     followers.configurations.wait = configurationsWait;
+    followers.configurations.newestOnly = true;
     followers.configurations.onRecords
         = [&node](const std::vector<Platform::StoreRecord>& records) { takeConfigurations(node, records); };
     followers.configurations.onSnapshot = [&node](const std::vector<Platform::StoreRecord>& records,
--- a/src/libs/edge/topicfollower.h
+++ b/src/libs/edge/topicfollower.h
@@ -43,6 +43,10 @@
     Utils::Instant answeredAt {};
     /// Not read for now.
     bool paused = false;
+    /// Only the newest of each key counts, so that a reader that was away need not read what came between.
+    bool newestOnly = false;
+    /// The next read is one of the newest of each key.
+    bool renew = false;
     boost::asio::steady_timer timer;
 };
 
--- a/tests/auto/granting/tst_planplacement.cpp
+++ b/tests/auto/granting/tst_planplacement.cpp
@@ -162,7 +162,7 @@
     placements = *planPlacement(placements, left, load);
     checkCover(placements);
     for (const KeyPlacement& placement : placements)
-        CHECK(placement.holder.value.size() > 0);
+        CHECK_FALSE(placement.holder.value.empty());
     CHECK(worstOf(placements, load) < 1.35 * 80 / 10);
     CHECK(keysThatMoved(before, placements) < keyCount * 4 / 13);
 }
