--- a/src/libs/platform/storecalls.cpp
+++ b/src/libs/platform/storecalls.cpp
@@ -87,18 +87,22 @@
     return bytes;
 }
 
-leaf::result<StoreRecord> decodeItem(const json::value& item)
+/// Adds the record that \a item describes.
+leaf::result<void> decodeItem(const json::value& item, std::vector<StoreRecord>& records)
 {
     if (!item.is_object())
         return unreadable();
     const json::object& object = item.get_object();
     BOOST_LEAF_AUTO(key, textIn(object, "key"));
     BOOST_LEAF_AUTO(offset, numberIn(object, "offset"));
+    std::optional<std::string> bytes;
     const json::value* value = object.if_contains("value");
-    if (!value || !value->is_string())
-        return StoreRecord { offset, key, std::nullopt };
-    BOOST_LEAF_AUTO(bytes, decodeBase64(std::string_view(value->get_string())));
-    return StoreRecord { offset, key, std::move(bytes) };
+    if (value && value->is_string()) {
+        BOOST_LEAF_AUTO(decoded, decodeBase64(std::string_view(value->get_string())));
+        bytes = std::move(decoded);
+    }
+    records.push_back({ offset, key, std::move(bytes) });
+    return {};
 }
 
 } // namespace Internal
@@ -196,8 +200,7 @@
     BOOST_LEAF_ASSIGN(page.more, Internal::flagIn(object, "more"));
     BOOST_LEAF_AUTO(items, Internal::arrayIn(object, "items"));
     for (const json::value& item : *items) {
-        BOOST_LEAF_AUTO(record, Internal::decodeItem(item));
-        page.records.push_back(std::move(record));
+        BOOST_LEAF_CHECK(Internal::decodeItem(item, page.records));
     }
     return page;
 }
--- a/tests/auto/edge/edgeworld.cpp
+++ b/tests/auto/edge/edgeworld.cpp
@@ -143,7 +143,7 @@
     std::optional<Answer> answer;
     const std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
     Edge::startCall(world.callers, vm.node.settings.callers, std::move(request), 5s,
-        [&answer, start](Edge::CallReply reply) {
+        [&answer, start](const Edge::CallReply& reply) {
             Answer got;
             got.outcome = reply.outcome;
             got.status = reply.status;
