Keep planning keys at the limit of segments, and doubt many silent holders later

The link between regions was full for two seconds, the leader reached no upstream of the other regions, and after 1.2 s of silence the keys of 79 living upstreams went to the 79 others. That made 531 segments, above the limit of 512, at which the planner did nothing any more: half of the upstreams stood idle for the last 16 seconds. Also, an upstream whose load lies on one key ended each plan, as it stayed the most loaded one.

Ruled out: dead upstreams; attempts to them from other VMs were answered from 34.3 s on.

Change: at the limit whole spans still move, and parts to neighbours; upstreams that can't be relieved are skipped; when more than a quarter of the holders is silent, they are given 3 s, which is less than their holds.

--- a/src/libs/edge/keyplanning.cpp
+++ b/src/libs/edge/keyplanning.cpp
@@ -4,6 +4,7 @@
 #include <granting/planplacement.h>
 
 #include <algorithm>
+#include <set>
 
 namespace Edge {
 
@@ -26,11 +27,11 @@
     std::vector<Granting::KeyServer> servers;
     const Utils::ServiceId& service = granter.assignment.service;
     const Balancing::ServiceStats& stats = node.traffic.stats[service];
+    const std::set<Utils::UpstreamId> lost = Granting::lostUpstreams(granter, at);
     const Routing::UpstreamDirectory& directory = node.beliefs.directory;
     for (auto it = directory.entries.begin(); it != directory.entries.end(); ++it) {
         const Routing::DirectoryEntry& entry = it->second;
-        if (entry.record.service != service || !Routing::isUsable(entry)
-            || Granting::isLost(granter, it->first, at))
+        if (entry.record.service != service || !Routing::isUsable(entry) || lost.contains(it->first))
             continue;
         const double seconds = std::chrono::duration<double>(stats.serviceTime).count()
             * node.traffic.links[it->first].load.slowness;
--- a/src/libs/granting/granter.cpp
+++ b/src/libs/granting/granter.cpp
@@ -211,6 +211,15 @@
     sent.at = {};
 }
 
+/// How many holders may be silent before the cause is more likely the leader's own link.
+std::size_t mostSilentAlone(const Granter& granter)
+{
+    std::set<Utils::UpstreamId> holders;
+    for (const Segment& segment : granter.assignment.segments)
+        holders.insert(segment.holder);
+    return std::max<std::size_t>(holders.size() / silentPartAlone, 1);
+}
+
 } // namespace Internal
 
 Granter takeOver(
@@ -307,10 +316,19 @@
     }
 }
 
-bool isLost(const Granter& granter, const Utils::UpstreamId& upstream, Utils::Instant now)
+std::set<Utils::UpstreamId> lostUpstreams(const Granter& granter, Utils::Instant now)
 {
-    const auto found = granter.doubtful.find(upstream);
-    return found != granter.doubtful.end() && now - found->second >= silenceThatMoves;
+    std::set<Utils::UpstreamId> lost;
+    for (auto it = granter.doubtful.begin(); it != granter.doubtful.end(); ++it) {
+        if (now - it->second >= silenceThatMoves)
+            lost.insert(it->first);
+    }
+    if (lost.size() <= Internal::mostSilentAlone(granter))
+        return lost;
+    std::erase_if(lost, [&](const Utils::UpstreamId& upstream) {
+        return now - granter.doubtful.at(upstream) < silenceOfManyThatMoves;
+    });
+    return lost;
 }
 
 void forgetDoubts(Granter& granter, Utils::Instant now)
--- a/src/libs/granting/granter.h
+++ b/src/libs/granting/granter.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,8 +56,12 @@
 /// \a upstream's process has certainly ended, or started anew: it holds nothing.
 void noteLoss(Granter& granter, const Utils::UpstreamId& upstream);
 
-/// Whether \a upstream has not answered for so long that its keys should go to others.
-bool isLost(const Granter& granter, const Utils::UpstreamId& upstream, Utils::Instant now);
+/// Upstreams that have not answered for so long that their keys should go to others.
+///
+/// Load pattern: all VMs start anew and fetch what they need over one link between regions, and for two
+/// seconds the leader reaches no upstream of the other regions. When many are silent together they are given
+/// longer than a few.
+std::set<Utils::UpstreamId> lostUpstreams(const Granter& granter, Utils::Instant now);
 
 /// Lets upstreams that hold nothing be tried again some time after they did not answer.
 void forgetDoubts(Granter& granter, Utils::Instant now);
--- a/src/libs/granting/grantingconstants.h
+++ b/src/libs/granting/grantingconstants.h
@@ -35,6 +35,11 @@
 inline constexpr Utils::Duration shortestHold = std::chrono::milliseconds(500);
 /// A holder that has not answered for this long loses its keys to others, once its hold has ended.
 inline constexpr Utils::Duration silenceThatMoves = std::chrono::milliseconds(1200);
+/// The same while more than one holder in silentPartAlone is silent. Their holds last longer, so that their
+/// keys come no later to others.
+inline constexpr Utils::Duration silenceOfManyThatMoves = std::chrono::milliseconds(3000);
+/// Upstreams of one zone of four may be lost together.
+inline constexpr std::size_t silentPartAlone = 4;
 
 /// Tokens of one term; a later term's are all higher.
 inline constexpr std::uint64_t tokensPerTerm = std::uint64_t(1) << 20;
--- a/src/libs/granting/planplacement.cpp
+++ b/src/libs/granting/planplacement.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace Granting {
 
@@ -115,14 +116,6 @@
         });
 }
 
-const KeyServer& mostLoaded(const Plan& plan)
-{
-    return *std::max_element(
-        plan.servers.begin(), plan.servers.end(), [&](const KeyServer& one, const KeyServer& other) {
-            return ratioOf(plan, one) < ratioOf(plan, other);
-        });
-}
-
 bool isServer(const Plan& plan, const Utils::UpstreamId& id)
 {
     return std::any_of(
@@ -217,17 +210,23 @@
 }
 
 /// Moves part of one of the donor's spans, from either end, where that leaves both less busy than the donor
-/// was. Keys beside one that is too busy to be moved itself are moved away from it.
+/// was. Keys beside one that is too busy to be moved itself are moved away from it. At the limit of segments
+/// only whole spans move, and parts to a neighbour, whose span grows.
 bool relieve(Plan& plan, const KeyServer& donor, double excess)
 {
     const double before = useOf(plan, donor);
+    const bool full = plan.placements.size() >= mostSegments;
     for (const std::size_t index : spansOf(plan, donor.id)) {
         const Routing::KeySpan whole = plan.placements[index].span;
-        const Routing::KeySpan pieces[] = { { whole.first, lastKeyWithin(plan, whole, excess) },
+        std::vector<Routing::KeySpan> pieces { { whole.first, lastKeyWithin(plan, whole, excess) },
             { firstKeyWithin(plan, whole, excess), whole.last } };
+        if (full)
+            pieces.push_back(whole);
         for (const Routing::KeySpan& piece : pieces) {
             const double moved = loadOf(plan, piece);
             const KeyServer* const neighbour = neighbourFor(plan, index, piece.first == whole.first, moved);
+            if (full && !neighbour && piece != whole)
+                continue;
             const KeyServer& receiver = neighbour ? *neighbour : receiverFor(plan, moved);
             const bool better = receiver.id != donor.id
                 && useOf(plan, receiver) + moved / receiver.capacity < before - moved / donor.capacity / 2;
@@ -240,17 +239,42 @@
     return false;
 }
 
-bool moveOne(Plan& plan)
+/// Upstreams with more than their share, the most loaded first.
+std::vector<KeyServer> donorsOf(const Plan& plan)
+{
+    std::vector<std::pair<double, KeyServer>> loaded;
+    for (const KeyServer& server : plan.servers) {
+        const double ratio = ratioOf(plan, server);
+        if (ratio > 1)
+            loaded.emplace_back(ratio, server);
+    }
+    std::stable_sort(loaded.begin(), loaded.end(),
+        [](const std::pair<double, KeyServer>& one, const std::pair<double, KeyServer>& other) {
+            return one.first > other.first;
+        });
+    std::vector<KeyServer> donors;
+    for (const std::pair<double, KeyServer>& donor : loaded)
+        donors.push_back(donor.second);
+    return donors;
+}
+
+/// Relieves one upstream. One that can't be relieved, as its load lies on a single key, is added to \a stuck
+/// and does not keep the others from it.
+bool moveOne(Plan& plan, std::set<Utils::UpstreamId>& stuck)
 {
-    const KeyServer& donor = mostLoaded(plan);
-    const KeyServer& idlest = leastLoaded(plan);
-    const bool tooBusy = ratioOf(plan, donor) > ratioToRelieve && useOf(plan, donor) > useToRelieve;
-    const bool tooIdle = ratioOf(plan, idlest) < ratioToFill && ratioOf(plan, donor) > 1;
-    if (donor.id == idlest.id || (!tooBusy && !tooIdle) || plan.placements.size() >= mostSegments)
-        return false;
-    const double excess = std::min(
-        plan.loads[donor.id] - shareOf(plan, donor), shareOf(plan, idlest) - plan.loads[idlest.id]);
-    return excess > 0 && relieve(plan, donor, excess);
+    const KeyServer idlest = leastLoaded(plan);
+    const bool tooIdle = ratioOf(plan, idlest) < ratioToFill;
+    const double room = shareOf(plan, idlest) - plan.loads[idlest.id];
+    for (const KeyServer& donor : donorsOf(plan)) {
+        const bool tooBusy = ratioOf(plan, donor) > ratioToRelieve && useOf(plan, donor) > useToRelieve;
+        if (stuck.contains(donor.id) || (!tooBusy && !tooIdle))
+            continue;
+        const double excess = std::min(plan.loads[donor.id] - shareOf(plan, donor), room);
+        if (excess > 0 && relieve(plan, donor, excess))
+            return true;
+        stuck.insert(donor.id);
+    }
+    return false;
 }
 
 void joinNeighbours(std::vector<KeyPlacement>& placements)
@@ -284,8 +308,9 @@
     Internal::countLoads(plan);
     Internal::dealOrphans(plan);
     const std::size_t mostMoves = std::max(Internal::fewMoves, servers.size() / Internal::upstreamsPerMove);
+    std::set<Utils::UpstreamId> stuck;
     for (std::size_t moves = 0; moves < mostMoves; ++moves) {
-        if (!Internal::moveOne(plan))
+        if (!Internal::moveOne(plan, stuck))
             break;
     }
     Internal::joinNeighbours(plan.placements);
--- a/tests/auto/granting/tst_granter.cpp
+++ b/tests/auto/granting/tst_granter.cpp
@@ -160,8 +160,34 @@
                 "", at);
         }
     }
-    CHECK(isLost(granter, two, at));
-    CHECK_FALSE(isLost(granter, one, at));
+    CHECK(lostUpstreams(granter, at) == std::set<Utils::UpstreamId> { two });
+}
+
+TEST_CASE("Many that are silent together are given longer than a few", "[granter]")
+{
+    // kuoo-brama-grown trouble-1 --vary --seed 526247903427, all VMs killed at 30 s: the link between regions
+    // was full for two seconds, and the keys of 79 living upstreams went to the 79 others.
+    struct Row {
+        const char* name;
+        unsigned silent;
+        Utils::Duration since;
+        std::size_t lost;
+    };
+    const Row row = GENERATE(values<Row>({
+        { "a few, not for long", 3, silenceThatMoves - 1ms, 0 },
+        { "a few", 3, silenceThatMoves, 3 },
+        { "half of them", 6, silenceThatMoves, 0 },
+        { "half of them, for long", 6, silenceOfManyThatMoves, 6 },
+    }));
+    INFO(row.name);
+    Granter granter;
+    for (std::uint16_t index = 0; index < 12; ++index) {
+        const Utils::UpstreamId id { "u" + std::to_string(index) };
+        granter.assignment.segments.push_back({ { index, index }, id, true, 1, {} });
+        if (index < row.silent)
+            granter.doubtful[id] = start;
+    }
+    CHECK(lostUpstreams(granter, start + row.since).size() == row.lost);
 }
 
 TEST_CASE("Doubts about an upstream that holds nothing are forgotten in time", "[granter]")
--- a/tests/auto/granting/tst_planplacement.cpp
+++ b/tests/auto/granting/tst_planplacement.cpp
@@ -1,3 +1,4 @@
+#include <granting/grantingconstants.h>
 #include <granting/planplacement.h>
 
 #include <catch2/catch.hpp>
@@ -152,6 +153,40 @@
     }
 }
 
+TEST_CASE("An upstream that can't be relieved does not keep others from it", "[planplacement]")
+{
+    // Load pattern: one key gets more than its upstream serves, and a busy span lies elsewhere.
+    std::vector<KeyPlacement> placements = *planPlacement({}, servers(13), {});
+    KeyLoad load = loadOn(0, keyCount - 1, 44);
+    add(load, loadOn(22269, 1, 28));
+    add(load, loadOn(50000, 200, 20));
+    settle(placements, servers(13), load, 6);
+    const std::map<std::string, double> loads = loadsOf(placements, load);
+    for (const KeyPlacement& placement : placements) {
+        if (!Routing::contains(placement.span, 22269))
+            CHECK((loads.at(placement.holder.value) < 12.5 || loads.at(placement.holder.value) > 27));
+    }
+}
+
+TEST_CASE("At the limit of segments keys still reach upstreams that have none", "[planplacement]")
+{
+    // kuoo-brama-grown trouble-1 --vary --seed 526247903427: 531 segments on 79 of 165 upstreams, and not one
+    // move in 16 seconds.
+    const std::vector<KeyServer> all = servers(160);
+    std::vector<KeyPlacement> placements;
+    for (std::uint32_t index = 0; index < mostSegments; ++index) {
+        const std::uint32_t size = keyCount / mostSegments;
+        placements.push_back({ { static_cast<std::uint16_t>(index * size),
+                                   static_cast<std::uint16_t>((index + 1) * size - 1) },
+            all[index % 80].id });
+    }
+    const KeyLoad load = loadOn(0, keyCount - 1, 1100);
+    settle(placements, all, load, 6);
+    CHECK(loadsOf(placements, load).size() == 160);
+    CHECK(worstOf(placements, load) < 12.5);
+    CHECK(placements.size() <= mostSegments + 8);
+}
+
 TEST_CASE("The keys of lost upstreams go to all others", "[planplacement]")
 {
     const std::vector<KeyServer> all = servers(13);
