Take an upstream for ended when another answers at its address

The 421 names the server that answers; the name was not read.

Change: it is read; the upstream is gone at once here, the leader is told by a frame of its own, frees its keys and passes the loss on.

Ruled out: a 421 alone as proof, as a server that has lost its keys gives one too.

--- a/src/libs/edge/grantcalling.cpp
+++ b/src/libs/edge/grantcalling.cpp
@@ -1,4 +1,5 @@
 #include <edge/clock.h>
+#include <edge/displacement.h>
 #include <edge/grantcalling.h>
 #include <edge/leadershiplog.h>
 #include <granting/grantingconstants.h>
@@ -43,6 +44,8 @@
         return;
     const GrantAnswer answer = answerOf(reply);
     const Platform::ServerTold told = Platform::readServerTold(reply.status, reply.fields);
+    if (!told.server.value.empty() && told.server != action.upstream)
+        noteDisplaced(node, action.upstream, told.server);
     const bool before = granter->second.changed;
     Granting::noteAnswer(granter->second, action, answer, told.handover, now());
     const bool renewal = action.kind == GrantAction::Kind::Grant && answer == GrantAnswer::Accepted
--- a/src/libs/edge/relay.cpp
+++ b/src/libs/edge/relay.cpp
@@ -73,6 +73,13 @@
 
 void noteLeaderKnown(Node& node) { Internal::beginReading(node); }
 
+void reportLoss(Node& node, const Utils::UpstreamId& upstream, Utils::Offset offset)
+{
+    if (node.relaying.toLeader && node.relaying.relied)
+        Internal::sendFrame(
+            node, node.relaying.toLeader, Relay::encodeFrame(Relay::LossFrame { upstream, offset }));
+}
+
 void reportLoad(Node& node)
 {
     Granting::LoadReport report;
--- a/src/libs/edge/relay.h
+++ b/src/libs/edge/relay.h
@@ -32,6 +32,9 @@
 /// leader.
 void nameLeaderToMembers(Node& node);
 
+/// Tells the leader that \a upstream has ended, as far as its report at \a offset.
+void reportLoss(Node& node, const Utils::UpstreamId& upstream, Utils::Offset offset);
+
 /// Ends the links of other VMs; called when this VM no longer leads.
 void dismissMembers(Node& node);
 
--- a/src/libs/edge/relaylinks.cpp
+++ b/src/libs/edge/relaylinks.cpp
@@ -1,5 +1,6 @@
 #include <edge/relaysource.h>
 #include <edge/relaylinks.h>
+#include <edge/displacement.h>
 #include <edge/relaymember.h>
 #include <logging/log.h>
 #include <relay/framecodec.h>
@@ -62,6 +63,8 @@
         takeUpdate(node, link, *update);
     else if (const Relay::LoadFrame* load = std::get_if<Relay::LoadFrame>(&frame))
         takeLoad(node, load->report);
+    else if (const Relay::LossFrame* loss = std::get_if<Relay::LossFrame>(&frame))
+        takeDisplaced(node, loss->upstream, loss->offset);
 }
 
 /// Takes all whole frames that have come; false if one makes no sense.
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -1,5 +1,6 @@
 #include <balancing/loadmodel.h>
 #include <edge/clock.h>
+#include <edge/displacement.h>
 #include <edge/exchanges.h>
 #include <edge/upstreams.h>
 #include <platform/headers.h>
@@ -153,6 +154,11 @@
 
 void readAnswer(Node& node, const ConnectionPtr& connection);
 
+bool isOther(const Platform::ServerTold& told, const Utils::UpstreamId& meant)
+{
+    return !told.server.value.empty() && told.server != meant;
+}
+
 void takeAnswer(Node& node, const ConnectionPtr& connection)
 {
     const bool keep = connection->parser->keep_alive();
@@ -169,6 +175,8 @@
     const AttemptEnd end = ofAnother ? AttemptEnd::Broken : endOf(response.result_int(), told);
     noteEnd(node, *connection, end, told);
     keepOrClose(node, connection, keep, told.keepAlive.value_or(untoldKeepAlive));
+    if (end == AttemptEnd::Misdirected && isOther(told, connection->upstream))
+        noteDisplaced(node, connection->upstream, told.server);
     if (ofAnother)
         endAttempt(node, connection, end);
     else
--- a/src/libs/platform/headers.cpp
+++ b/src/libs/platform/headers.cpp
@@ -84,6 +84,7 @@
 {
     ServerTold told;
     told.requestId = { std::string(Internal::viewOf(fields, Internal::requestIdHeader)) };
+    told.server = { std::string(Internal::viewOf(fields, Internal::serverIdHeader)) };
     told.notRun = status == Internal::statusMisdirected
         || fields.find(boost::string_view(Internal::notRunHeader.data(), Internal::notRunHeader.size()))
             != fields.end();
--- a/src/libs/platform/servertold.h
+++ b/src/libs/platform/servertold.h
@@ -13,6 +13,8 @@
 struct ServerTold {
     /// The id that it echoes; empty if it gave none.
     Utils::RequestId requestId;
+    /// The server that answered, where it says so; mostly when it is not the one that was meant.
+    Utils::UpstreamId server;
     /// It states that the request has not run.
     bool notRun = false;
     std::optional<Routing::ToldLoad> load;
--- a/src/libs/relay/framecodec.cpp
+++ b/src/libs/relay/framecodec.cpp
@@ -61,10 +61,15 @@
     return Generated::CreateLoad(builder, packBytes(builder, load.report)).Union();
 }
 
+flatbuffers::Offset<void> packBody(Builder& builder, const LossFrame& loss)
+{
+    return Generated::CreateLossDirect(builder, loss.upstream.value.c_str(), loss.offset).Union();
+}
+
 Generated::Body typeOf(const Frame& frame)
 {
-    constexpr std::array<Generated::Body, 3> types { Generated::Body::Subscription, Generated::Body::Update,
-        Generated::Body::Load };
+    constexpr std::array<Generated::Body, 4> types { Generated::Body::Subscription, Generated::Body::Update,
+        Generated::Body::Load, Generated::Body::Loss };
     return types.at(frame.index());
 }
 
@@ -130,6 +135,8 @@
         return unpackUpdate(*packed);
     if (const Generated::Load* packed = frame->body_as_Load())
         return LoadFrame { unpackBytes(*packed->report()) };
+    if (const Generated::Loss* packed = frame->body_as_Loss())
+        return LossFrame { { packed->upstream()->str() }, packed->offset() };
     return leaf::new_error(RelayError::Malformed);
 }
 
--- a/src/libs/relay/framecodec.h
+++ b/src/libs/relay/framecodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <relay/loadframe.h>
+#include <relay/lossframe.h>
 #include <relay/subscription.h>
 #include <relay/update.h>
 
@@ -16,7 +17,7 @@
 /// is set the FlatBuffer is deflated, and follows the four bytes of its own length.
 namespace Relay {
 
-using Frame = std::variant<Subscription, Update, LoadFrame>;
+using Frame = std::variant<Subscription, Update, LoadFrame, LossFrame>;
 
 /// A frame may hold all reports and a large configuration.
 inline constexpr std::size_t mostFrameBytes = std::size_t(16) << 20;
--- a/tests/auto/edge/tst_keys.cpp
+++ b/tests/auto/edge/tst_keys.cpp
@@ -104,3 +104,27 @@
     Server& joined = addServer(world, "k-2", "keyed", true);
     CHECK(runUntil(world, [&joined] { return !joined.state.held.empty(); }));
 }
+
+TEST_CASE("Requests for the keys of an upstream whose address another has stop reaching it at once", "[keys]")
+{
+    // kuoo-brama-grown trouble-1 --vary --seed 526247903427: upstreams fell silent and their addresses went
+    // to another service, which saw each request for their keys as a repeat (BUDGET).
+    World world;
+    Server& ended = addServer(world, "k-1", "keyed", true);
+    Server& other = addServer(world, "k-2", "keyed", true);
+    Edge::Service& vm = startReady(world);
+    Edge::Service& second = addVm(world);
+    REQUIRE(
+        runUntil(world, [&] { return isSettled(vm) && isSettled(second) && second.node.relaying.relied; }));
+    ended.state.id = "x-9";
+    ended.state.keyed = false;
+    ended.state.held.clear();
+    const unsigned before = ended.state.arrivals;
+    // Of a VM that does not lead.
+    for (int request = 0; request < 10; ++request)
+        CHECK(ask(world, second, keyQuestion(100)).status == 200);
+    CHECK(ended.state.arrivals - before <= 1);
+    CHECK(other.state.ran.size() == 10);
+    // The leader has learned of it.
+    CHECK(vm.node.beliefs.directory.entries.at({ "k-1" }).gone);
+}
--- a/tests/auto/platform/tst_headers.cpp
+++ b/tests/auto/platform/tst_headers.cpp
@@ -39,12 +39,14 @@
     fields.set("Keep-Alive", "timeout=10, max=5");
     fields.set("X-Server-Stamp", "stamp");
     fields.set("X-Handover", "h");
+    fields.set("X-Instance-Id", "i-7");
     const ServerTold told = readServerTold(200, fields);
     CHECK(told.requestId.value == "abc");
     CHECK(told.load == Routing::ToldLoad { 3, 1, 8 });
     CHECK(told.keepAlive == Utils::Duration(10s));
     CHECK(told.stamped);
     CHECK(told.handover == "h");
+    CHECK(told.server.value == "i-7");
     CHECK_FALSE(told.notRun);
 }
 
--- a/tests/auto/relay/tst_framecodec.cpp
+++ b/tests/auto/relay/tst_framecodec.cpp
@@ -35,11 +35,14 @@
     update.leaderEnd = 17;
     update.fresh = true;
     update.vms = 10;
+    update.source = true;
+    update.reportsEnd = 31;
     update.records
         = { { RelayTopic::Reports, "i-1", "value", 4 }, { RelayTopic::Reports, "i-2", std::nullopt, 5 },
               { RelayTopic::Configurations, "config", std::string(5000, 'x'), 6 } };
     update.peers = { "10.0.0.1", "10.0.0.2" };
-    return { Subscription { { "vm" }, 1, 2, 3 }, update, LoadFrame { std::string("\0bytes", 6) }, Update {} };
+    return { Subscription { { "vm" }, 1, 2, 3, true }, update, LoadFrame { std::string("\0bytes", 6) },
+        LossFrame { { "i-3" }, 9 }, Update {} };
 }
 
 } // namespace
--- a/tests/standins/platformserver/platformserver.cpp
+++ b/tests/standins/platformserver/platformserver.cpp
@@ -37,6 +37,13 @@
     return reply;
 }
 
+HttpReply misdirected(const PlatformServer& server)
+{
+    HttpReply reply = notRun(421);
+    reply.headers["X-Instance-Id"] = server.id;
+    return reply;
+}
+
 bool holds(const PlatformServer& server, std::uint32_t key)
 {
     return std::any_of(server.held.begin(), server.held.end(), [key](const HeldKeys& keys) {
@@ -117,7 +124,7 @@
         = headerOf(request, "x-expect-instance") != server.id || takeOne(server.faults->misdirect);
     if (other
         || (server.keyed && (key.empty() || !holds(server, static_cast<std::uint32_t>(std::stoul(key))))))
-        reply(notRun(421));
+        reply(misdirected(server));
     else if (takeOne(server.faults->refuse))
         reply(notRun(503));
     else
