Grant nothing to upstreams that have ended, and count refused grants as not arrived

Change: a granter knows the upstreams that have ended and skips them; a refused connection leaves the claim as it was, as nothing had been sent.

--- a/src/libs/edge/assignmentrecords.cpp
+++ b/src/libs/edge/assignmentrecords.cpp
@@ -77,7 +77,7 @@
     const Routing::UpstreamDirectory& directory = node.beliefs.directory;
     for (auto it = directory.entries.begin(); it != directory.entries.end(); ++it) {
         if (it->second.ended)
-            Granting::noteLoss(granter, it->first);
+            Granting::noteEnded(granter, it->first);
     }
 }
 
--- a/src/libs/edge/beliefupdates.cpp
+++ b/src/libs/edge/beliefupdates.cpp
@@ -126,7 +126,7 @@
     if (change == Routing::DirectoryChange::Reborn) {
         closeIdle(node, id);
         node.traffic.links[id].load = {};
-        noteUpstreamEnded(node, id);
+        noteUpstreamReborn(node, id);
     }
     if (change == Routing::DirectoryChange::StartedDraining || change == Routing::DirectoryChange::Removed)
         closeIdle(node, id);
--- a/src/libs/edge/leading.cpp
+++ b/src/libs/edge/leading.cpp
@@ -178,6 +178,12 @@
 }
 
 void noteUpstreamEnded(Node& node, const Utils::UpstreamId& upstream)
+{
+    for (auto it = node.leader.granters.begin(); it != node.leader.granters.end(); ++it)
+        Granting::noteEnded(it->second, upstream);
+}
+
+void noteUpstreamReborn(Node& node, const Utils::UpstreamId& upstream)
 {
     for (auto it = node.leader.granters.begin(); it != node.leader.granters.end(); ++it)
         Granting::noteLoss(it->second, upstream);
--- a/src/libs/edge/leading.h
+++ b/src/libs/edge/leading.h
@@ -18,9 +18,12 @@
 /// The leader's topic ends at \a end.
 void noteLeaderEnd(Node& node, Utils::Offset end);
 
-/// The process behind \a upstream has ended: it holds nothing any more.
+/// The process behind \a upstream has ended for good: it holds nothing any more.
 void noteUpstreamEnded(Node& node, const Utils::UpstreamId& upstream);
 
+/// \a upstream is another process than before, which holds nothing yet.
+void noteUpstreamReborn(Node& node, const Utils::UpstreamId& upstream);
+
 /// Takes a VM's word on which keys callers ask for.
 void takeLoadReport(Node& node, const Granting::LoadReport& report);
 
--- a/src/libs/granting/granter.cpp
+++ b/src/libs/granting/granter.cpp
@@ -172,7 +172,8 @@
     segment.settled = !segment.holder.value.empty() && settledKeys == Routing::sizeOf(segment.span);
 }
 
-/// An accepted grant arrived before its answer did; one that got none may have arrived as late as it could.
+/// An accepted grant arrived before its answer did; one that got none may have arrived as late as it could;
+/// one whose connection was refused has not arrived.
 void settleClaim(Granter& granter, const GrantAction& action, GrantAnswer answer, Utils::Instant now)
 {
     for (Claim& claim : granter.claims) {
@@ -180,7 +181,8 @@
             continue;
         const Utils::Instant end
             = answer == GrantAnswer::Accepted ? endOfHold(action.hold, now) : claim.pendingUntil;
-        claim.until = std::max(claim.until, std::min(end, claim.pendingUntil));
+        if (answer != GrantAnswer::ConnectionRefused)
+            claim.until = std::max(claim.until, std::min(end, claim.pendingUntil));
         claim.pendingUntil = {};
     }
 }
@@ -273,7 +275,8 @@
     for (Segment& segment : granter.assignment.segments) {
         SentGrant& sent = granter.sent[segment.span.first];
         const bool calm = segment.settled && !granter.doubtful.contains(segment.holder);
-        if (segment.holder.value.empty() || !Internal::isDue(sent, calm ? holdRenewal : grantRetry, now))
+        if (segment.holder.value.empty() || granter.ended.contains(segment.holder)
+            || !Internal::isDue(sent, calm ? holdRenewal : grantRetry, now))
             continue;
         const Claim* foreign = segment.settled ? nullptr : Internal::foreignClaim(granter, segment);
         actions.push_back(foreign ? Internal::makeRelease(granter, segment, *foreign)
@@ -305,6 +308,7 @@
 void noteLoss(Granter& granter, const Utils::UpstreamId& upstream)
 {
     granter.doubtful.erase(upstream);
+    granter.ended.erase(upstream);
     std::erase_if(granter.claims, [&](const Claim& claim) { return claim.upstream == upstream; });
     for (Segment& segment : granter.assignment.segments) {
         if (segment.holder != upstream)
@@ -316,6 +320,12 @@
     }
 }
 
+void noteEnded(Granter& granter, const Utils::UpstreamId& upstream)
+{
+    noteLoss(granter, upstream);
+    granter.ended.insert(upstream);
+}
+
 std::set<Utils::UpstreamId> lostUpstreams(const Granter& granter, Utils::Instant now)
 {
     std::set<Utils::UpstreamId> lost;
--- a/src/libs/granting/granter.h
+++ b/src/libs/granting/granter.h
@@ -31,6 +31,8 @@
     std::map<std::uint16_t, std::string> handovers;
     /// Holders that left a call unanswered, and since when.
     std::map<Utils::UpstreamId, Utils::Instant> doubtful;
+    /// Upstreams that have ended.
+    std::set<Utils::UpstreamId> ended;
 };
 
 /// What a new leader knows: everyone named in \a assignment may have been granted keys until this moment, for
@@ -53,9 +55,13 @@
 void noteAnswer(Granter& granter, const GrantAction& action, GrantAnswer answer, const std::string& handover,
     Utils::Instant now);
 
-/// \a upstream's process has certainly ended, or started anew: it holds nothing.
+/// \a upstream's process has started anew: it holds nothing.
 void noteLoss(Granter& granter, const Utils::UpstreamId& upstream);
 
+/// \a upstream's process has certainly ended: it holds nothing, and is granted nothing while its keys have
+/// not been placed anew.
+void noteEnded(Granter& granter, const Utils::UpstreamId& upstream);
+
 /// Upstreams that have not answered for so long that their keys should go to others.
 ///
 /// Load pattern: all VMs start anew and fetch what they need over one link between regions, and for two
--- a/tests/auto/granting/tst_granter.cpp
+++ b/tests/auto/granting/tst_granter.cpp
@@ -118,6 +118,36 @@
     CHECK(grant->token > former);
 }
 
+TEST_CASE("An upstream that has ended is granted nothing while its keys wait for a plan", "[granter]")
+{
+    // ppklj-gerbang-grown trouble-3: a renewal sent after the end was known made the keys wait for its hold.
+    Granter granter = settledGranter();
+    noteEnded(granter, two);
+    const std::vector<GrantAction> actions = dueActions(granter, calmHold, start + holdRenewal);
+    CHECK(actionFor(actions, GrantAction::Kind::Grant, two) == nullptr);
+    CHECK(actionFor(actions, GrantAction::Kind::Grant, one));
+    moveUpper(granter);
+    const std::vector<GrantAction> moved = dueActions(granter, calmHold, start + holdRenewal + 1ms);
+    REQUIRE(moved.size() == 1);
+    CHECK(moved.front().kind == GrantAction::Kind::Grant);
+    CHECK(moved.front().span == upper);
+}
+
+TEST_CASE("A grant whose connection was refused does not lengthen the hold", "[granter]")
+{
+    Granter granter = settledGranter();
+    const Utils::Instant renewal = start + holdRenewal;
+    for (const GrantAction& action : dueActions(granter, calmHold, renewal)) {
+        if (action.upstream == two)
+            noteAnswer(granter, action, GrantAnswer::ConnectionRefused, "", renewal + 1ms);
+    }
+    moveUpper(granter);
+    const Utils::Instant end = start + calmHold + calmHold / 50 + expiryMargin;
+    CHECK(actionFor(dueActions(granter, calmHold, end - 1ms), GrantAction::Kind::Release, two));
+    const std::vector<GrantAction> after = dueActions(granter, calmHold, end + grantRetry);
+    CHECK(actionFor(after, GrantAction::Kind::Release, two) == nullptr);
+}
+
 TEST_CASE("A new leader takes everyone in the record for a holder of the longest time", "[granter]")
 {
     Granter former = settledGranter();
