--- a/src/libs/granting/planplacement.cpp
+++ b/src/libs/granting/planplacement.cpp
@@ -253,6 +253,7 @@
             return one.first > other.first;
         });
     std::vector<KeyServer> donors;
+    donors.reserve(loaded.size());
     for (const std::pair<double, KeyServer>& donor : loaded)
         donors.push_back(donor.second);
     return donors;
--- a/tests/auto/edge/tst_keys.cpp
+++ b/tests/auto/edge/tst_keys.cpp
@@ -157,5 +157,5 @@
                 [](const Granting::Segment& segment) { return segment.holder.value == "k-2"; });
     };
     CHECK(runUntil(world, allAtOther, 5000ms));
-    CHECK(other.state.held.size() >= 1);
+    CHECK_FALSE(other.state.held.empty());
 }
