Keep a token that a test compares after its action is gone

Cause: tst_granter read an action of a vector that had been replaced; found by the address sanitizer, in its first run over these tests. The comparison is the same.

--- a/tests/auto/granting/tst_granter.cpp
+++ b/tests/auto/granting/tst_granter.cpp
@@ -72,12 +72,13 @@
     REQUIRE(release);
     CHECK(release->span == upper);
     CHECK(release->token > former);
+    const std::uint64_t releaseToken = release->token;
     noteAnswer(granter, *release, GrantAnswer::Accepted, "proof", at);
     actions = dueActions(granter, calmHold, at);
     const GrantAction* grant = actionFor(actions, GrantAction::Kind::Grant, one);
     REQUIRE(grant);
     CHECK(grant->handover == "proof");
-    CHECK(grant->token > release->token);
+    CHECK(grant->token > releaseToken);
 }
 
 TEST_CASE("Without a release keys move only when the hold has surely ended", "[granter]")
