Log and count crashes of upstreams by the content of the request

attempt_ended, request_ended_here and caller_left now have the fingerprint and the last upstream; crash_counted has the number of crashes; the gauges crocus_crash_suspects and crocus_quarantined_requests have the sizes. No decision changes.

--- a/src/libs/balancing/poisonrequesttracker.cpp
+++ b/src/libs/balancing/poisonrequesttracker.cpp
@@ -16,7 +16,7 @@
 
 } // namespace Internal
 
-void recordCrash(PoisonRequestTracker& tracker, std::uint64_t fingerprint, Utils::Instant now)
+unsigned recordCrash(PoisonRequestTracker& tracker, std::uint64_t fingerprint, Utils::Instant now)
 {
     if (tracker.suspects.size() >= maxSuspects)
         Internal::removeExpiredSuspects(tracker, now);
@@ -25,6 +25,7 @@
     PoisonRequestTracker::Suspect& suspect = tracker.suspects[fingerprint];
     ++suspect.crashes;
     suspect.lastCrashAt = now;
+    return suspect.crashes;
 }
 
 void clearSuspect(PoisonRequestTracker& tracker, std::uint64_t fingerprint)
@@ -39,4 +40,12 @@
         && now - found->second.lastCrashAt <= suspectRetention;
 }
 
+std::size_t countQuarantined(const PoisonRequestTracker& tracker, Utils::Instant now)
+{
+    std::size_t count = 0;
+    for (auto it = tracker.suspects.begin(); it != tracker.suspects.end(); ++it)
+        count += isQuarantined(tracker, it->first, now) ? 1 : 0;
+    return count;
+}
+
 } // namespace Balancing
--- a/src/libs/balancing/poisonrequesttracker.h
+++ b/src/libs/balancing/poisonrequesttracker.h
@@ -23,7 +23,8 @@
 inline constexpr Utils::Duration suspectRetention = std::chrono::seconds(60);
 inline constexpr std::size_t maxSuspects = 4096;
 
-void recordCrash(PoisonRequestTracker& tracker, std::uint64_t fingerprint, Utils::Instant now);
+/// Returns the number of crashes that are counted against \a fingerprint.
+unsigned recordCrash(PoisonRequestTracker& tracker, std::uint64_t fingerprint, Utils::Instant now);
 
 /// Removes \a fingerprint from the suspects, because an upstream responded to the request.
 void clearSuspect(PoisonRequestTracker& tracker, std::uint64_t fingerprint);
@@ -33,4 +34,7 @@
 /// Load pattern: a request that crashes each upstream that runs it and is retried through any VM.
 bool isQuarantined(const PoisonRequestTracker& tracker, std::uint64_t fingerprint, Utils::Instant now);
 
+/// The number of fingerprints whose requests are rejected.
+std::size_t countQuarantined(const PoisonRequestTracker& tracker, Utils::Instant now);
+
 } // namespace Balancing
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -284,7 +284,8 @@
 void trackPoisonRequest(Node& node, const Exchange& exchange, AttemptOutcome outcome)
 {
     if (outcome == AttemptOutcome::ConnectionLost)
-        Balancing::recordCrash(node.traffic.poisonRequests, exchange.fingerprint, now());
+        logCrash(exchange, exchange.lastUpstream,
+            Balancing::recordCrash(node.traffic.poisonRequests, exchange.fingerprint, now()));
     if (outcome == AttemptOutcome::Responded)
         Balancing::clearSuspect(node.traffic.poisonRequests, exchange.fingerprint);
 }
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -30,6 +30,11 @@
         static_cast<double>(node.traffic.callerConnections.size()));
     writeSingleSample(text, "crocus_upstream_connections", "gauge", "Open connections to upstreams",
         static_cast<double>(node.traffic.upstreamConnections.size()));
+    writeSingleSample(text, "crocus_crash_suspects", "gauge",
+        "Request contents during which upstreams crashed",
+        static_cast<double>(node.traffic.poisonRequests.suspects.size()));
+    writeSingleSample(text, "crocus_quarantined_requests", "gauge", "Request contents that are rejected",
+        static_cast<double>(Balancing::countQuarantined(node.traffic.poisonRequests, now())));
     writeSingleSample(
         text, "crocus_stopping", "gauge", "1 after a stop was asked for", node.stopping ? 1 : 0);
 }
--- a/src/libs/edge/requestlog.cpp
+++ b/src/libs/edge/requestlog.cpp
@@ -1,6 +1,9 @@
 #include <edge/requestlog.h>
 #include <logging/log.h>
 
+#include <array>
+#include <cstdio>
+
 namespace Edge {
 
 namespace Internal {
@@ -10,6 +13,14 @@
     return Utils::toMilliseconds(now - exchange.startedAt);
 }
 
+/// The fingerprint as text: JSON readers lose digits of large numbers.
+std::string formatFingerprint(const Exchange& exchange)
+{
+    std::array<char, 17> text {};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(exchange.fingerprint));
+    return text.data();
+}
+
 } // namespace Internal
 
 void logRequestSent(
@@ -34,7 +45,15 @@
         { { "request", exchange.callerHeaders.requestId.value }, { "upstream", upstream.value },
             { "attempt", exchange.attemptCount },
             { "end", Utils::enumName(Balancing::attemptOutcomeNames, outcome) },
-            { "next", Utils::enumName(Balancing::nextStepNames, step) } });
+            { "next", Utils::enumName(Balancing::nextStepNames, step) },
+            { "fingerprint", Internal::formatFingerprint(exchange) } });
+}
+
+void logCrash(const Exchange& exchange, const Utils::UpstreamId& upstream, unsigned crashes)
+{
+    Logging::write(Logging::Level::Warning, "crash_counted",
+        { { "request", exchange.callerHeaders.requestId.value }, { "upstream", upstream.value },
+            { "crashes", crashes }, { "fingerprint", Internal::formatFingerprint(exchange) } });
 }
 
 void logResponseDelivered(
@@ -53,7 +72,8 @@
             { "route", exchange.route ? exchange.route->name : "" },
             { "reason", Utils::enumName(localResponseReasonNames, response.reason) },
             { "status", statusFor(response) }, { "may_have_run", response.mayHaveRun },
-            { "attempts", exchange.attemptCount },
+            { "attempts", exchange.attemptCount }, { "upstream", exchange.lastUpstream.value },
+            { "fingerprint", Internal::formatFingerprint(exchange) },
             { "retry_after_ms", Utils::toMilliseconds(response.retryAfter) },
             { "elapsed_ms", Internal::elapsedMs(exchange, now) },
             { "config", exchange.routeTable ? exchange.routeTable->configuration.version : 0 } });
@@ -63,6 +83,8 @@
 {
     Logging::write(Logging::Level::Info, "caller_left",
         { { "request", exchange.callerHeaders.requestId.value }, { "attempts", exchange.attemptCount },
+            { "upstream", exchange.lastUpstream.value },
+            { "fingerprint", Internal::formatFingerprint(exchange) },
             { "elapsed_ms", Internal::elapsedMs(exchange, now) } });
 }
 
--- a/src/libs/edge/requestlog.h
+++ b/src/libs/edge/requestlog.h
@@ -17,6 +17,10 @@
 void logAttemptOutcome(const Exchange& exchange, const Utils::UpstreamId& upstream,
     Balancing::AttemptOutcome outcome, Balancing::NextStep step);
 
+/// Logs that \a upstream is considered to have crashed while it ran the request.
+/// \param crashes the number of crashes that are counted against requests with the same content.
+void logCrash(const Exchange& exchange, const Utils::UpstreamId& upstream, unsigned crashes);
+
 /// Logs that the upstream's response is delivered to the caller.
 void logResponseDelivered(
     const Exchange& exchange, const Utils::UpstreamId& upstream, unsigned status, Utils::Instant now);
