--- /dev/null
+++ b/tests/auto/edge/tst_poisonrequests.cpp
@@ -0,0 +1,100 @@
+#include "crashingupstreams.h"
+
+#include <catch2/catch.hpp>
+
+using namespace EdgeTest;
+using namespace std::chrono_literals;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t vmCount = 6;
+/// The platform's bounds: time after the third crash, and retries that may reach upstreams later than that.
+constexpr std::chrono::milliseconds stability = 3s;
+constexpr std::size_t maxLateRetries = 3;
+
+bool isLeader(const Edge::Service& vm) { return vm.node.leader.leadership.term.has_value(); }
+
+/// Starts VMs, of which the first is the leader and the others subscribe to it.
+void startVms(TestEnvironment& environment)
+{
+    Edge::Service& first = startReadyVm(environment);
+    REQUIRE(runUntil(environment, [&first] { return isLeader(first); }));
+    while (environment.vms.size() < vmCount)
+        startVm(environment);
+    REQUIRE(runUntil(environment, [&environment] {
+        return std::all_of(environment.vms.begin() + 1, environment.vms.end(),
+            [](const std::unique_ptr<Edge::Service>& vm) { return vm->node.relay.isSubscribed; });
+    }));
+    // Until subscribers have joined, the leader does not know the number of VMs.
+    runFor(environment, 6000ms);
+}
+
+CallerRequest poisonRequest(bool unsafe)
+{
+    CallerRequest request;
+    request.path = unsafe ? "/unsafe/poison" : "/safe/poison";
+    request.method = unsafe ? http::verb::post : http::verb::get;
+    return request;
+}
+
+struct Row {
+    const char* name;
+    bool unsafe;
+    bool storeAway;
+    bool leaderKilled;
+};
+
+} // namespace
+
+TEST_CASE("A request that crashes its upstreams is not sent on by one VM after the other", "[poisonrequests]")
+{
+    const Row row = GENERATE(values<Row>({
+        { "unsafe", true, false, false },
+        { "idempotent", false, false, false },
+        { "the store is away", true, true, false },
+        { "the leader is killed", true, false, true },
+        { "the store is away and the leader is killed", true, true, true },
+    }));
+    INFO(row.name);
+    TestEnvironment environment;
+    CrashingUpstreams crashing(environment);
+    addCrashingUpstreams(crashing, 10);
+    startVms(environment);
+    for (std::size_t round = 0; round < 2 * vmCount; ++round) {
+        if (round == 2 && row.storeAway)
+            environment.store.faults.outage = true;
+        if (round == 2 && row.leaderKilled)
+            killVm(environment, 0);
+        const std::size_t vm = round % vmCount;
+        if (vm > 0 || !row.leaderKilled || round < 2)
+            sendRequest(environment, *environment.vms[vm], poisonRequest(row.unsafe));
+        runFor(environment, 1000ms);
+    }
+    CHECK(crashesAfterThird(crashing, stability) <= maxLateRetries);
+    environment.store.faults.outage = false;
+    CHECK(sendRequest(environment, *environment.vms[1], {}).status == 200);
+}
+
+TEST_CASE("Harmless requests are served while others crash their upstreams", "[poisonrequests]")
+{
+    // Guards against quarantining requests that were in flight at upstreams which another request crashed.
+    TestEnvironment environment;
+    CrashingUpstreams crashing(environment);
+    addCrashingUpstreams(crashing, 10);
+    startVms(environment);
+    std::size_t served = 0;
+    std::size_t sent = 0;
+    for (std::size_t round = 0; round < 30; ++round) {
+        for (std::size_t vm = 0; vm < vmCount; ++vm) {
+            CallerRequest harmless;
+            harmless.path = "/safe/popular" + std::to_string(vm % 2);
+            ++sent;
+            served += sendRequest(environment, *environment.vms[vm], harmless).status == 200 ? 1 : 0;
+        }
+        if (round % 5 == 0)
+            sendRequest(environment, *environment.vms[round / 5 % vmCount], poisonRequest(false));
+        runFor(environment, 100ms);
+    }
+    CHECK(served == sent);
+}
--- a/tests/standins/support/httpserver.cpp
+++ b/tests/standins/support/httpserver.cpp
@@ -110,6 +110,9 @@
 
 void sendReply(HttpServer& server, std::uint64_t id, const HttpReply& reply)
 {
+    // The server may have crashed since the request came.
+    if (!server.sessions.contains(id))
+        return;
     if (reply.drop)
         finishAnswer(server, id, false);
     else if (!reply.garbage.empty())
@@ -185,6 +188,20 @@
     return error;
 }
 
+std::string crash(HttpServer& server)
+{
+    boost::system::error_code ignored;
+    const asio::ip::tcp::endpoint endpoint = server.acceptor.local_endpoint(ignored);
+    server.acceptor.close(ignored);
+    // The sessions are removed by the handlers of their pending operations, which use their buffers.
+    for (auto it = server.sessions.begin(); it != server.sessions.end(); ++it) {
+        HttpSocket& socket = it->second.stream.socket();
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 std::uint16_t portOf(const HttpServer& server)
 {
     boost::system::error_code error;
--- a/tests/standins/support/httpserver.h
+++ b/tests/standins/support/httpserver.h
@@ -29,6 +29,10 @@
 /// Listens on \a listen, "IP:PORT" with port 0 for any, and answers with \a handler until the context stops.
 boost::system::error_code startServing(HttpServer& server, const std::string& listen, HttpHandler handler);
 
+/// Stops listening and resets all connections, as a process that terminates does. Returns the "IP:PORT" it
+/// listened on, with which startServing() starts it again.
+std::string crash(HttpServer& server);
+
 /// The port that the server listens on.
 std::uint16_t portOf(const HttpServer& server);
 
