Do not count unreachable upstreams as attempts of a request

Callers saw 503 upstreams_refused, or 502, for harmless requests while three of ten upstreams were restarting: each refused connection counted towards the route's max_attempts, which bounds the upstreams that a request is sent to.

Attempts without a connection no longer count, except at the holder of a key, which is retried at once and would be retried without end. They use no retry budget, as before; each upstream is still tried once for a request.

Test: edge.upstreamfaults, five upstreams of which four are gone: 503 and nothing run before, 200 and one run after, idempotent and unsafe.

--- a/src/libs/edge/exchange.h
+++ b/src/libs/edge/exchange.h
@@ -40,6 +40,8 @@
     /// Whether the caller has sent this request before.
     bool isCallerRetry = false;
     unsigned attemptCount = 0;
+    /// Attempts that ended without a connection; they sent the request to no upstream.
+    unsigned unconnectedAttemptCount = 0;
     std::set<Utils::UpstreamId> triedUpstreams;
     Utils::UpstreamId lastUpstream;
     /// Whether some upstream may have run the request.
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -144,6 +144,14 @@
     return Balancing::admit(context);
 }
 
+/// Number of attempts that count towards the route's maximum. The holder of a key is retried at once, so that
+/// attempts that do not reach it count too.
+unsigned countedAttempts(const Exchange& exchange)
+{
+    return exchange.service->keyed ? exchange.attemptCount
+                                   : exchange.attemptCount - exchange.unconnectedAttemptCount;
+}
+
 Utils::Duration attemptTimeoutFor(
     const Exchange& exchange, std::size_t candidates, Utils::Duration expected, Utils::Duration timeLeft)
 {
@@ -151,7 +159,7 @@
     // A key has a single holder: another attempt would only move the request to the end of the holder's
     // queue.
     const bool canTryAnother = Routing::isIdempotent(exchange.route->kind)
-        && exchange.attemptCount < exchange.route->maxAttempts && candidates > 1;
+        && countedAttempts(exchange) < exchange.route->maxAttempts && candidates > 1;
     return canTryAnother && timeLeft - timeout >= expected ? timeout : timeLeft;
 }
 
@@ -305,7 +313,7 @@
     context.outcome = outcome;
     context.idempotent = Routing::isIdempotent(exchange.route->kind);
     context.earlierAttemptMayHaveRun = exchange.mayHaveRun;
-    context.attemptCount = exchange.attemptCount;
+    context.attemptCount = countedAttempts(exchange);
     context.maxAttempts = exchange.route->maxAttempts;
     context.hasOtherUpstream = hasRetryTarget(node, exchange, outcome)
         && !Balancing::isQuarantined(node.traffic.poisonRequests, exchange.fingerprint, now());
@@ -371,6 +379,7 @@
     const Internal::ExchangePtr exchange = found->second;
     exchange->connectionId = 0;
     exchange->mayHaveRun = exchange->mayHaveRun || !Balancing::hasNotRun(outcome);
+    exchange->unconnectedAttemptCount += outcome == Balancing::AttemptOutcome::NotConnected ? 1 : 0;
     node.counters.attempts.add(outcome);
     Internal::trackPoisonRequest(node, *exchange, outcome);
     const Utils::UpstreamId upstream = exchange->lastUpstream;
--- a/tests/auto/edge/tst_upstreamfaults.cpp
+++ b/tests/auto/edge/tst_upstreamfaults.cpp
@@ -115,3 +115,21 @@
     *two.standIn.faults = {};
     CHECK(sendRequest(environment, vm, {}).status == 200);
 }
+
+TEST_CASE(
+    "A request is served when more upstreams are unreachable than it may be sent to", "[upstreamfaults]")
+{
+    const bool unsafe = GENERATE(false, true);
+    INFO((unsafe ? "unsafe" : "idempotent"));
+    TestEnvironment environment;
+    for (unsigned index = 1; index <= 5; ++index)
+        addUpstream(environment, "i-" + std::to_string(index), "plain");
+    Edge::Service& vm = startReadyVm(environment);
+    for (std::size_t index = 0; index < 4; ++index)
+        StandInSupport::crash(environment.upstreams[index]->httpServer);
+    CallerRequest callerRequest;
+    callerRequest.path = unsafe ? "/unsafe/1" : "/safe/1";
+    callerRequest.method = unsafe ? http::verb::post : http::verb::get;
+    CHECK(sendRequest(environment, vm, callerRequest).status == 200);
+    CHECK(environment.upstreams[4]->standIn.ran.size() == 1);
+}
