Count crashes of upstreams over all VMs before a request is sent again

Cause: PoisonRequestTracker counted the crashes that its own VM saw, though the bound on them is one for all VMs. Class: a count kept by each VM alone for a limit of the whole system.

Now each VM reports a crash, and a response that clears a suspect, to all others: over the relay links at the relay's 200 ms tick, and while it has no relay source in datagrams to the VMs that the leader named before, three times each. What was sent in the last 3 s is sent again when the source is lost. A subscription exchanges all known crashes in both directions, so that a leader that restarts, or a new VM, learns them. A crash counts once however many attempts it ended and however often it is reported; a response anywhere clears the request. Three crashes quarantine it for 60 s, doubled by each further crash; after that VMs may try it one second after the other.

Weighed and left: an agreed record for each crash (the store may be away, and each call is priced); a limit of two (a harmless request that ran beside the other on two upstreams would be rejected); flooding every report by datagrams (a VM of the grown fleet would send several hundred a second).

Not covered yet: all VMs restarted at once; upstreams that end without closing their connections.

--- a/src/libs/balancing/poisonrequesttracker.h
+++ b/src/libs/balancing/poisonrequesttracker.h
@@ -1,40 +1,63 @@
 #pragma once
 
-#include <utils/time.h>
+#include <balancing/attemptobservation.h>
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
+#include <vector>
 
+/// Detection of requests that crash the upstreams that run them. The bound on the crashes is one for all VMs,
+/// so observations of other VMs are recorded like those of this one.
 namespace Balancing {
 
-/// Requests, identified by a hash of their content, during which connections to upstreams were lost.
 struct PoisonRequestTracker {
+    /// A request, identified by a hash of its content, that was running when upstreams crashed.
     struct Suspect {
-        unsigned crashes = 0;
-        Utils::Instant lastCrashAt {};
+        /// Distinct crashes, the oldest first.
+        std::vector<AttemptObservation> crashes;
+        /// When an upstream last responded to the request; earlier crashes do not count.
+        std::optional<Utils::Instant> respondedAt;
+        Utils::Instant changedAt {};
     };
     std::unordered_map<std::uint64_t, Suspect> suspects;
 };
 
 /// Number of crashes after which a request is quarantined.
-inline constexpr unsigned crashesToQuarantine = 2;
-/// How long a suspect is kept after its last crash.
-inline constexpr Utils::Duration suspectRetention = std::chrono::seconds(60);
+inline constexpr std::size_t crashesToQuarantine = 3;
+/// Duration of the first quarantine; each further crash doubles it.
+inline constexpr Utils::Duration minQuarantine = std::chrono::seconds(60);
+inline constexpr Utils::Duration maxQuarantine = std::chrono::hours(1);
+/// How long a suspect is kept after its last change. Quarantined requests are kept for longer than their
+/// quarantine.
+inline constexpr Utils::Duration suspectRetention = std::chrono::minutes(10);
 inline constexpr std::size_t maxSuspects = 4096;
 
-/// Returns the number of crashes that are counted against \a fingerprint.
-unsigned recordCrash(PoisonRequestTracker& tracker, std::uint64_t fingerprint, Utils::Instant now);
+/// Records that the upstream crashed during the attempt. Returns false if the crash has been counted before:
+/// an attempt that had begun when its upstream crashed during another one ended with the same crash.
+bool recordCrash(PoisonRequestTracker& tracker, const AttemptObservation& attempt);
 
-/// Removes \a fingerprint from the suspects, because an upstream responded to the request.
-void clearSuspect(PoisonRequestTracker& tracker, std::uint64_t fingerprint);
+/// Records that the upstream responded, which shows that the request does not crash upstreams. Returns false
+/// if no crash was counted against the request.
+bool recordResponse(PoisonRequestTracker& tracker, const AttemptObservation& attempt);
 
-/// Whether requests with \a fingerprint are rejected.
+/// Number of crashes that are counted against \a fingerprint.
+std::size_t countCrashes(const PoisonRequestTracker& tracker, std::uint64_t fingerprint);
+
+/// Returns how long requests with \a fingerprint are still rejected, or nothing if they are not.
+/// \param trialDelay time after the quarantine until this VM may send the request again. It differs between
+/// VMs, so that one of them tries first and the others learn the outcome.
 ///
 /// Load pattern: a request that crashes each upstream that runs it and is retried through any VM.
-bool isQuarantined(const PoisonRequestTracker& tracker, std::uint64_t fingerprint, Utils::Instant now);
+std::optional<Utils::Duration> quarantineLeft(const PoisonRequestTracker& tracker, std::uint64_t fingerprint,
+    Utils::Instant now, Utils::Duration trialDelay);
 
-/// The number of fingerprints whose requests are rejected.
+/// The number of quarantined fingerprints, without trial delays.
 std::size_t countQuarantined(const PoisonRequestTracker& tracker, Utils::Instant now);
 
+/// Returns the crashes of at most \a maxSuspectCount suspects, those with the most crashes first.
+std::vector<AttemptObservation> collectCrashes(
+    const PoisonRequestTracker& tracker, std::size_t maxSuspectCount);
+
 } // namespace Balancing
--- /dev/null
+++ b/src/libs/edge/crashreporting.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <edge/queuedcrashreport.h>
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <cstdint>
+#include <deque>
+
+namespace Edge {
+
+/// State of the exchange of crash reports with other VMs.
+struct CrashReporting {
+    explicit CrashReporting(boost::asio::io_context& context)
+        : socket(context)
+    {
+    }
+
+    /// Larger than any datagram that a VM sends.
+    static constexpr std::size_t receiveBufferBytes = 2048;
+
+    /// Receives reports of VMs that have no link to a relay source.
+    boost::asio::ip::udp::socket socket;
+    boost::asio::ip::udp::endpoint sender;
+    std::array<char, receiveBufferBytes> receiveBuffer {};
+    /// Reports that may not have reached the other VMs yet, the oldest first.
+    std::deque<QueuedCrashReport> queue;
+    std::uint64_t lastReportNumber = 0;
+};
+
+} // namespace Edge
--- /dev/null
+++ b/src/libs/edge/crashreports.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <edge/node.h>
+#include <relay/crashreportframe.h>
+
+/// Shares with all VMs which requests crash the upstreams that run them: over the relay links, and in
+/// datagrams while a VM has no link to a relay source.
+namespace Edge {
+
+/// Starts receiving datagrams. Throws boost::system::system_error if the address can't be bound.
+void startCrashReports(Node& node);
+
+/// Records that the upstream of the last attempt of \a exchange crashed during the attempt.
+void recordUpstreamCrash(Node& node, const Exchange& exchange);
+
+/// Records that the upstream of the last attempt of \a exchange responded.
+void recordUpstreamResponse(Node& node, const Exchange& exchange);
+
+/// Returns how long requests with \a fingerprint are still rejected, or nothing if they are not.
+std::optional<Utils::Duration> quarantineLeft(const Node& node, std::uint64_t fingerprint);
+
+/// Records the reports of another VM and queues those that were not known for the others.
+/// \param inDatagram whether the sender reaches all other VMs itself.
+void handleCrashReports(Node& node, const Relay::CrashReportFrame& frame, bool inDatagram);
+
+/// Sends the queued reports to the other VMs.
+void flushCrashReports(Node& node);
+
+/// Sends recent reports again after the link to the relay source was lost, as they may be lost with it.
+void resendCrashReports(Node& node);
+
+namespace Internal {
+
+/// Sends the known crashes to the VM that has subscribed to this one, or to which this one has subscribed.
+void sendKnownCrashes(Node& node, const std::shared_ptr<RelayLink>& link);
+
+} // namespace Internal
+
+} // namespace Edge
--- a/src/libs/edge/exchange.h
+++ b/src/libs/edge/exchange.h
@@ -44,6 +44,8 @@
     unsigned unconnectedAttemptCount = 0;
     std::set<Utils::UpstreamId> triedUpstreams;
     Utils::UpstreamId lastUpstream;
+    /// When the last attempt was started.
+    Utils::Instant attemptStartedAt {};
     /// Whether some upstream may have run the request.
     bool mayHaveRun = false;
     /// The upstream connection of the current attempt; 0 if there is none.
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -5,7 +5,9 @@
 #include <edge/callers.h>
 #include <edge/candidates.h>
 #include <edge/clock.h>
+#include <edge/crashreports.h>
 #include <edge/exchanges.h>
+#include <edge/members.h>
 #include <edge/requestlog.h>
 #include <edge/upstreams.h>
 #include <platform/headers.h>
@@ -47,8 +49,6 @@
 /// Share of the retry budget that is used. The margin allows for VMs that count requests and time windows
 /// slightly differently.
 constexpr double retryBudgetShare = 0.8;
-/// Number of VMs that are assumed to share the retry budget until the leader has reported the number.
-constexpr std::uint32_t assumedVmCount = 32;
 
 void removeExchange(Node& node, const ExchangePtr& exchange)
 {
@@ -191,6 +191,7 @@
     ++exchange->attemptCount;
     exchange->triedUpstreams.insert(upstream);
     exchange->lastUpstream = upstream;
+    exchange->attemptStartedAt = at;
     logRequestSent(node, *exchange, upstream, placement->expectedLatency);
     startAttempt(node, exchange, entry.record,
         attemptTimeoutFor(*exchange, candidates.size(), placement->expectedLatency, timeLeft));
@@ -199,8 +200,7 @@
 Balancing::RetryAllowance retryAllowanceFor(const Node& node)
 {
     const Routing::OperatingLimits& limits = node.settings.operatingLimits;
-    const std::uint32_t vmCount = node.relay.vmCount > 0 ? node.relay.vmCount : assumedVmCount;
-    return { limits.retryRatio * retryBudgetShare, limits.retrySlack * retryBudgetShare / vmCount,
+    return { limits.retryRatio * retryBudgetShare, limits.retrySlack * retryBudgetShare / vmCountOf(node),
         limits.retryWindow };
 }
 
@@ -292,10 +292,9 @@
 void trackPoisonRequest(Node& node, const Exchange& exchange, AttemptOutcome outcome)
 {
     if (outcome == AttemptOutcome::ConnectionLost)
-        logCrash(exchange, exchange.lastUpstream,
-            Balancing::recordCrash(node.traffic.poisonRequests, exchange.fingerprint, now()));
+        recordUpstreamCrash(node, exchange);
     if (outcome == AttemptOutcome::Responded)
-        Balancing::clearSuspect(node.traffic.poisonRequests, exchange.fingerprint);
+        recordUpstreamResponse(node, exchange);
 }
 
 /// Whether there is an upstream for a retry. For a keyed service this is the holder, which may hold the key
@@ -315,8 +314,8 @@
     context.earlierAttemptMayHaveRun = exchange.mayHaveRun;
     context.attemptCount = countedAttempts(exchange);
     context.maxAttempts = exchange.route->maxAttempts;
-    context.hasOtherUpstream = hasRetryTarget(node, exchange, outcome)
-        && !Balancing::isQuarantined(node.traffic.poisonRequests, exchange.fingerprint, now());
+    context.hasOtherUpstream
+        = hasRetryTarget(node, exchange, outcome) && !quarantineLeft(node, exchange.fingerprint);
     context.timeLeft = exchange.deadlineAt - now();
     context.expectedLatency = baselineLatencyFor(node, exchange);
     return context;
@@ -361,9 +360,8 @@
     Internal::setDeadlines(node, *exchange);
     Internal::countRequest(node, *exchange);
     exchange->fingerprint = Internal::computeFingerprint(exchange->request);
-    if (Balancing::isQuarantined(node.traffic.poisonRequests, exchange->fingerprint, exchange->startedAt)) {
-        Internal::respondLocally(
-            node, exchange, LocalResponseReason::PoisonQuarantined, Balancing::suspectRetention);
+    if (const std::optional<Utils::Duration> left = quarantineLeft(node, exchange->fingerprint)) {
+        Internal::respondLocally(node, exchange, LocalResponseReason::PoisonQuarantined, *left);
         return;
     }
     Internal::armDeadline(node, exchange);
--- a/src/libs/edge/node.h
+++ b/src/libs/edge/node.h
@@ -3,6 +3,7 @@
 #include <edge/clusterview.h>
 #include <edge/callpool.h>
 #include <edge/counters.h>
+#include <edge/crashreporting.h>
 #include <edge/topicfollowers.h>
 #include <edge/leaderstate.h>
 #include <edge/relaystate.h>
@@ -30,6 +31,7 @@
         , relay(context)
         , leader(context)
         , loadReportTimer(context)
+        , crashReporting(context)
     {
     }
 
@@ -46,6 +48,7 @@
     LeaderState leader;
     Counters counters;
     boost::asio::steady_timer loadReportTimer;
+    CrashReporting crashReporting;
     /// A stop was requested: connections of callers are closed as their requests finish.
     bool stopping = false;
     /// The load balancer has removed this VM, so new connections are no longer accepted.
--- a/src/libs/edge/relay.cpp
+++ b/src/libs/edge/relay.cpp
@@ -1,4 +1,5 @@
 #include <edge/clock.h>
+#include <edge/crashreports.h>
 #include <edge/leaderelection.h>
 #include <edge/relay.h>
 #include <edge/relaysource.h>
@@ -33,6 +34,7 @@
             sendUpdateToSubscribers(node, {});
     }
     checkSourceLink(node, at);
+    flushCrashReports(node);
     node.relay.timer.expires_after(
         node.clusterView.directoryLoaded ? relayTickInterval : startupRelayTickInterval);
     node.relay.timer.async_wait([&node](const ErrorCode& error) {
@@ -67,6 +69,7 @@
     node.relay.acceptor.listen();
     // Spreads VMs that look for a source over the peers.
     node.relay.nextPeer = Utils::stableHash(node.settings.name.value);
+    startCrashReports(node);
     Internal::acceptSubscriber(node);
     Internal::tickRelay(node);
     Internal::scheduleStoreReading(node, Internal::startupStoreTimeout);
--- a/src/libs/edge/relaylink.h
+++ b/src/libs/edge/relaylink.h
@@ -28,7 +28,7 @@
     /// Frames to send; the first one is being written.
     std::deque<std::string> sendQueue;
     std::size_t sendQueueBytes = 0;
-    /// At the source: the VM at the other end has subscribed.
+    /// The VM at one end has subscribed to the other one, and frames may be sent in both directions.
     bool subscribed = false;
     /// At the source: the store is in the region of the subscriber.
     bool storeIsLocal = false;
--- a/src/libs/edge/relaylinks.cpp
+++ b/src/libs/edge/relaylinks.cpp
@@ -1,4 +1,5 @@
 #include <edge/relaysource.h>
+#include <edge/crashreports.h>
 #include <edge/relaylinks.h>
 #include <edge/addressreuse.h>
 #include <edge/relaysubscriber.h>
@@ -66,6 +67,8 @@
         handleLoadReport(node, loadReport->report);
     else if (const Relay::TerminationFrame* termination = std::get_if<Relay::TerminationFrame>(&frame))
         handleTerminationReport(node, termination->upstream, termination->offset);
+    else if (const Relay::CrashReportFrame* reports = std::get_if<Relay::CrashReportFrame>(&frame))
+        handleCrashReports(node, *reports, false);
 }
 
 /// Handles all frames that have been received completely. Returns false if one is malformed.
@@ -114,6 +117,7 @@
     const bool wasSourceLink = node.relay.sourceLink && node.relay.sourceLink->id == link->id;
     if (wasSourceLink) {
         node.relay.sourceLink.reset();
+        resendCrashReports(node);
         handleSourceDisconnected(node);
     }
     node.relay.subscribers.erase(link->id);
--- a/src/libs/edge/relaysource.cpp
+++ b/src/libs/edge/relaysource.cpp
@@ -1,4 +1,6 @@
 #include <edge/clock.h>
+#include <edge/crashreports.h>
+#include <edge/members.h>
 #include <edge/leaderelection.h>
 #include <edge/relay.h>
 #include <edge/relaysource.h>
@@ -120,8 +122,10 @@
     if (isLeader(node) && now() - node.leader.startedAt > subscriberJoinPeriod)
         node.relay.vmCount = static_cast<std::uint32_t>(vmCount);
     Relay::Update update = makeUpdate(node, std::move(records));
-    if (std::exchange(node.relay.subscribersChanged, false))
+    if (std::exchange(node.relay.subscribersChanged, false)) {
         update.peers = subscriberAddresses(node);
+        update.members = collectMembers(node);
+    }
     const std::string frame = Relay::encodeFrame(update);
     for (const LinkPtr& link : subscribedLinks(node))
         sendFrame(node, link, frame);
@@ -193,6 +197,7 @@
     link->storeIsLocal = subscription.storeIsLocal;
     link->subscribed = true;
     node.relay.subscribersChanged = true;
+    sendKnownCrashes(node, link);
     const bool hasNoRecords
         = subscription.configurations == 0 && subscription.reports == 0 && subscription.assignments == 0;
     sendFrame(node, link,
--- a/src/libs/edge/relaystate.h
+++ b/src/libs/edge/relaystate.h
@@ -40,6 +40,8 @@
     bool usesFallbackSource = false;
     /// Addresses of VMs that may be a source or know the leader.
     std::vector<std::string> peers;
+    /// Addresses of all known VMs, and when each was last named by the leader or, on the leader, subscribed.
+    std::map<std::string, Utils::Instant> members;
     /// Index of the next peer to connect to, modulo their number.
     std::size_t nextPeer = 0;
     /// The next connection attempt goes to a peer rather than to the leader.
--- a/src/libs/edge/relaysubscriber.cpp
+++ b/src/libs/edge/relaysubscriber.cpp
@@ -1,5 +1,7 @@
 #include <edge/clusterviewupdates.h>
 #include <edge/clock.h>
+#include <edge/crashreports.h>
+#include <edge/members.h>
 #include <edge/topicfollowing.h>
 #include <edge/relay.h>
 #include <edge/relaysubscriber.h>
@@ -236,6 +238,8 @@
     }
     if (!update.peers.empty())
         node.relay.peers = update.peers;
+    if (!update.members.empty())
+        recordMembers(node, update.members);
     Granting::recordLogRead(node.leader.leadership, update.leaderTopicEnd, leader, now());
     // A VM that is not a source sends a single response, which names the leader.
     if (!update.senderIsSource) {
@@ -265,6 +269,8 @@
     link->requestedAllReports = subscription.reports == 0;
     node.relay.lastReceivedAt = now();
     sendFrame(node, link, Relay::encodeFrame(subscription));
+    link->subscribed = true;
+    sendKnownCrashes(node, link);
     readFrames(node, link);
 }
 
--- a/src/libs/edge/requestlog.cpp
+++ b/src/libs/edge/requestlog.cpp
@@ -14,10 +14,10 @@
 }
 
 /// The fingerprint as text: JSON readers lose digits of large numbers.
-std::string formatFingerprint(const Exchange& exchange)
+std::string formatFingerprint(std::uint64_t fingerprint)
 {
     std::array<char, 17> text {};
-    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(exchange.fingerprint));
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(fingerprint));
     return text.data();
 }
 
@@ -46,14 +46,21 @@
             { "attempt", exchange.attemptCount },
             { "end", Utils::enumName(Balancing::attemptOutcomeNames, outcome) },
             { "next", Utils::enumName(Balancing::nextStepNames, step) },
-            { "fingerprint", Internal::formatFingerprint(exchange) } });
+            { "fingerprint", Internal::formatFingerprint(exchange.fingerprint) } });
 }
 
-void logCrash(const Exchange& exchange, const Utils::UpstreamId& upstream, unsigned crashes)
+void logCrash(const Exchange& exchange, const Utils::UpstreamId& upstream, std::size_t crashes)
 {
     Logging::write(Logging::Level::Warning, "crash_counted",
         { { "request", exchange.callerHeaders.requestId.value }, { "upstream", upstream.value },
-            { "crashes", crashes }, { "fingerprint", Internal::formatFingerprint(exchange) } });
+            { "crashes", crashes }, { "fingerprint", Internal::formatFingerprint(exchange.fingerprint) } });
+}
+
+void logReportedCrash(std::uint64_t fingerprint, std::size_t crashes, Utils::Duration age)
+{
+    Logging::write(Logging::Level::Info, "crash_learned",
+        { { "fingerprint", Internal::formatFingerprint(fingerprint) }, { "crashes", crashes },
+            { "age_ms", Utils::toMilliseconds(age) } });
 }
 
 void logResponseDelivered(
@@ -73,7 +80,7 @@
             { "reason", Utils::enumName(localResponseReasonNames, response.reason) },
             { "status", statusFor(response) }, { "may_have_run", response.mayHaveRun },
             { "attempts", exchange.attemptCount }, { "upstream", exchange.lastUpstream.value },
-            { "fingerprint", Internal::formatFingerprint(exchange) },
+            { "fingerprint", Internal::formatFingerprint(exchange.fingerprint) },
             { "retry_after_ms", Utils::toMilliseconds(response.retryAfter) },
             { "elapsed_ms", Internal::elapsedMs(exchange, now) },
             { "config", exchange.routeTable ? exchange.routeTable->configuration.version : 0 } });
@@ -84,7 +91,7 @@
     Logging::write(Logging::Level::Info, "caller_left",
         { { "request", exchange.callerHeaders.requestId.value }, { "attempts", exchange.attemptCount },
             { "upstream", exchange.lastUpstream.value },
-            { "fingerprint", Internal::formatFingerprint(exchange) },
+            { "fingerprint", Internal::formatFingerprint(exchange.fingerprint) },
             { "elapsed_ms", Internal::elapsedMs(exchange, now) } });
 }
 
--- a/src/libs/relay/framecodec.cpp
+++ b/src/libs/relay/framecodec.cpp
@@ -6,6 +6,9 @@
 #include <boost/endian/conversion.hpp>
 #include <boost/leaf/error.hpp>
 
+#include <algorithm>
+#include <array>
+
 namespace Relay {
 
 namespace leaf = boost::leaf;
@@ -36,6 +39,16 @@
         builder, static_cast<std::uint8_t>(record.topic), key, value, record.offset);
 }
 
+std::vector<flatbuffers::Offset<flatbuffers::String>> packStrings(
+    Builder& builder, const std::vector<std::string>& strings)
+{
+    std::vector<flatbuffers::Offset<flatbuffers::String>> packed;
+    packed.reserve(strings.size());
+    for (const std::string& text : strings)
+        packed.push_back(builder.CreateString(text));
+    return packed;
+}
+
 flatbuffers::Offset<void> packBody(Builder& builder, const Subscription& subscription)
 {
     return Generated::CreateSubscriptionDirect(builder, subscription.vm.value.c_str(),
@@ -49,11 +62,11 @@
     std::vector<flatbuffers::Offset<Generated::Record>> records;
     for (const RelayRecord& record : update.records)
         records.push_back(packRecord(builder, record));
-    std::vector<flatbuffers::Offset<flatbuffers::String>> peers;
-    for (const std::string& peer : update.peers)
-        peers.push_back(builder.CreateString(peer));
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> peers = packStrings(builder, update.peers);
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> members
+        = packStrings(builder, update.members);
     return Generated::CreateUpdateDirect(builder, update.leader.c_str(), update.leaderTopicEnd,
-        update.isFresh, update.vmCount, &peers, &records, update.senderIsSource, update.reportsEnd)
+        update.isFresh, update.vmCount, &peers, &records, update.senderIsSource, update.reportsEnd, &members)
         .Union();
 }
 
@@ -68,13 +81,39 @@
         .Union();
 }
 
+std::uint32_t encodeAge(Utils::Duration age)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(Utils::toMilliseconds(age), 0, UINT32_MAX));
+}
+
+flatbuffers::Offset<void> packBody(Builder& builder, const CrashReportFrame& frame)
+{
+    std::vector<Generated::CrashReport> reports;
+    reports.reserve(frame.reports.size());
+    for (const CrashReport& report : frame.reports)
+        reports.emplace_back(report.id, report.fingerprint, report.upstream, encodeAge(report.sentAge),
+            encodeAge(report.endedAge), static_cast<std::uint8_t>(report.kind));
+    return Generated::CreateCrashReportsDirect(builder, &reports).Union();
+}
+
 Generated::Body bodyTypeFor(const Frame& frame)
 {
-    constexpr std::array<Generated::Body, 4> types { Generated::Body::Subscription, Generated::Body::Update,
-        Generated::Body::Load, Generated::Body::Loss };
+    constexpr std::array<Generated::Body, 5> types { Generated::Body::Subscription, Generated::Body::Update,
+        Generated::Body::Load, Generated::Body::Loss, Generated::Body::CrashReports };
     return types.at(frame.index());
 }
 
+std::vector<std::string> unpackStrings(
+    const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>* packed)
+{
+    std::vector<std::string> strings;
+    if (!packed)
+        return strings;
+    for (const flatbuffers::String* text : *packed)
+        strings.push_back(text->str());
+    return strings;
+}
+
 Update unpackUpdate(const Generated::Update& packed)
 {
     Update update;
@@ -91,13 +130,24 @@
             unpacked.value = unpackBytes(*record->value());
         update.records.push_back(std::move(unpacked));
     }
-    if (packed.peers()) {
-        for (const flatbuffers::String* peer : *packed.peers())
-            update.peers.push_back(peer->str());
-    }
+    update.peers = unpackStrings(packed.peers());
+    update.members = unpackStrings(packed.members());
     return update;
 }
 
+leaf::result<Frame> unpackCrashReports(const Generated::CrashReports& packed)
+{
+    CrashReportFrame frame;
+    for (const Generated::CrashReport* report : *packed.reports()) {
+        if (report->kind() > static_cast<std::uint8_t>(CrashReport::Kind::Response))
+            return leaf::new_error(RelayError::Malformed);
+        frame.reports.push_back({ static_cast<CrashReport::Kind>(report->kind()), report->id(),
+            report->fingerprint(), report->upstream(), std::chrono::milliseconds(report->sent_age_ms()),
+            std::chrono::milliseconds(report->ended_age_ms()) });
+    }
+    return frame;
+}
+
 std::string encodeLength(std::size_t length)
 {
     std::string bytes(lengthBytes, '\0');
@@ -139,6 +189,8 @@
         return LoadFrame { unpackBytes(*packed->report()) };
     if (const Generated::Loss* packed = frame->body_as_Loss())
         return TerminationFrame { { packed->upstream()->str() }, packed->offset() };
+    if (const Generated::CrashReports* packed = frame->body_as_CrashReports())
+        return unpackCrashReports(*packed);
     return leaf::new_error(RelayError::Malformed);
 }
 
--- a/src/libs/relay/framecodec.h
+++ b/src/libs/relay/framecodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <relay/crashreportframe.h>
 #include <relay/loadframe.h>
 #include <relay/terminationframe.h>
 #include <relay/subscription.h>
@@ -18,7 +19,7 @@
 /// FlatBuffer.
 namespace Relay {
 
-using Frame = std::variant<Subscription, Update, LoadFrame, TerminationFrame>;
+using Frame = std::variant<Subscription, Update, LoadFrame, TerminationFrame, CrashReportFrame>;
 
 /// Large enough for all upstream reports and a large configuration in one frame.
 inline constexpr std::size_t maxFrameBytes = std::size_t(16) << 20;
--- a/src/libs/relay/update.h
+++ b/src/libs/relay/update.h
@@ -27,6 +27,8 @@
     Utils::Offset reportsEnd = 0;
     /// Addresses of VMs to connect to when the leader is unreachable; empty in most updates.
     std::vector<std::string> peers;
+    /// Addresses of all VMs that the leader knows, itself included; empty in most updates.
+    std::vector<std::string> members;
 
     bool operator==(const Update&) const = default;
 };
--- a/tests/auto/edge/testenvironment.cpp
+++ b/tests/auto/edge/testenvironment.cpp
@@ -3,6 +3,8 @@
 #include <logging/log.h>
 #include <platform/headers.h>
 
+#include <cstdlib>
+
 #include <unistd.h>
 
 namespace EdgeTest {
@@ -44,7 +46,7 @@
     , remoteStoreServer(this->context)
     , callPool(this->context)
 {
-    Logging::configure(Logging::Level::Error, "test");
+    Logging::configure(std::getenv("CROCUS_TEST_LOG") ? Logging::Level::Info : Logging::Level::Error, "test");
     StandInSupport::startServing(this->storeServer,
         uniqueLoopbackAddress(0) + ":" + std::to_string(storePort), StandInStore::handlerOf(this->store));
     this->remoteStoreAccess.way = interRegionRoundTrip;
--- a/tests/auto/relay/tst_framecodec.cpp
+++ b/tests/auto/relay/tst_framecodec.cpp
@@ -41,8 +41,13 @@
         = { { RelayTopic::Reports, "i-1", "value", 4 }, { RelayTopic::Reports, "i-2", std::nullopt, 5 },
               { RelayTopic::Configurations, "config", std::string(5000, 'x'), 6 } };
     update.peers = { "10.0.0.1", "10.0.0.2" };
+    update.members = { "10.0.0.1", "10.0.0.2", "10.0.0.3" };
+    CrashReportFrame crashes;
+    crashes.reports = { { CrashReport::Kind::Crash, 1, UINT64_MAX, 3, std::chrono::milliseconds(40),
+                            std::chrono::milliseconds(5) },
+        { CrashReport::Kind::Response, 2, 7, 4, std::chrono::minutes(3), std::chrono::seconds(1) } };
     return { Subscription { { "vm" }, 1, 2, 3, true }, update, LoadFrame { std::string("\0bytes", 6) },
-        TerminationFrame { { "i-3" }, 9 }, Update {} };
+        TerminationFrame { { "i-3" }, 9 }, Update {}, crashes };
 }
 
 } // namespace
