Add a fault soak of real processes

crocussoak runs the daemon as separate processes on loopback addresses between scripted callers, upstreams and a store. A seed draws faults in series and overlapping: VMs killed, stopped, paused, the leader and all VMs killed, the store away, silent, slow, losing answers or cut from one VM (either way, through a proxy), upstreams that crash, drain, go silent, lose connections or fail requests, changed configurations, and requests that crash upstreams. Checked from callers' and upstreams' sides: no request runs twice, is told not run but ran, gets another's response, is denied, changed or cut; no key is held twice, tokens rise; the retry budget and the bound on late retries of requests that crash upstreams; service recovers. It ends only processes that it started.

The stand-in server now checks fences and splits ranges, as the platform's do.

--- /dev/null
+++ b/tests/soak/faultkind.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <utils/enumtable.h>
+
+#include <array>
+
+namespace Soak {
+
+/// Faults that a run injects.
+enum class FaultKind {
+    VmKilled,
+    LeaderKilled,
+    VmStopped,
+    VmPaused,
+    AllVmsKilled,
+    StoreAway,
+    StoreSilent,
+    StoreAnswersLost,
+    StoreCutFromVm,
+    StoreSlow,
+    UpstreamCrashed,
+    UpstreamDrained,
+    UpstreamSilenced,
+    UpstreamReset,
+    UpstreamFails,
+    ConfigurationChanged,
+    Poison,
+};
+
+inline constexpr std::array<Utils::EnumName<FaultKind>, 17> faultKindNames { {
+    { FaultKind::VmKilled, "vm_killed" },
+    { FaultKind::LeaderKilled, "leader_killed" },
+    { FaultKind::VmStopped, "vm_stopped" },
+    { FaultKind::VmPaused, "vm_paused" },
+    { FaultKind::AllVmsKilled, "all_vms_killed" },
+    { FaultKind::StoreAway, "store_away" },
+    { FaultKind::StoreSilent, "store_silent" },
+    { FaultKind::StoreAnswersLost, "store_answers_lost" },
+    { FaultKind::StoreCutFromVm, "store_cut_from_vm" },
+    { FaultKind::StoreSlow, "store_slow" },
+    { FaultKind::UpstreamCrashed, "upstream_crashed" },
+    { FaultKind::UpstreamDrained, "upstream_drained" },
+    { FaultKind::UpstreamSilenced, "upstream_silenced" },
+    { FaultKind::UpstreamReset, "upstream_reset" },
+    { FaultKind::UpstreamFails, "upstream_fails" },
+    { FaultKind::ConfigurationChanged, "configuration_changed" },
+    { FaultKind::Poison, "poison" },
+} };
+
+} // namespace Soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,82 @@
+#include <soak/callers.h>
+#include <soak/checks.h>
+#include <soak/faults.h>
+
+#include <logging/log.h>
+
+#include <tclap/CmdLine.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+
+#include <unistd.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+
+Soak::SoakOptions parseOptions(int argc, char** argv)
+{
+    Soak::SoakOptions options;
+    TCLAP::CmdLine command("Runs processes of the daemon under faults and checks what callers see.", ' ');
+    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of the faults", false, 1, "number", command);
+    TCLAP::ValueArg<std::size_t> vms("", "vms", "Number of VMs", false, 5, "number", command);
+    TCLAP::ValueArg<std::size_t> upstreams(
+        "", "upstreams", "Number of upstreams", false, 12, "number", command);
+    TCLAP::ValueArg<unsigned> seconds("", "seconds", "Length of the traffic", false, 24, "seconds", command);
+    TCLAP::ValueArg<unsigned> rate("", "rate", "Requests a second", false, 60, "number", command);
+    TCLAP::ValueArg<std::string> program("", "program", "Path of the daemon", true, "", "path", command);
+    TCLAP::ValueArg<std::string> folder(
+        "", "folder", "Folder for settings and logs; a temporary one if absent", false, "", "path", command);
+    TCLAP::ValueArg<std::string> fault("", "fault", "The only kind of fault", false, "", "name", command);
+    command.parse(argc, argv);
+    options.seed = seed.getValue();
+    options.vms = vms.getValue();
+    options.upstreams = upstreams.getValue();
+    options.seconds = seconds.getValue();
+    options.requestsPerSecond = rate.getValue();
+    options.program = program.getValue();
+    options.folder = folder.getValue();
+    options.onlyFault = fault.getValue();
+    return options;
+}
+
+/// Runs the world and returns whether all promises were kept.
+bool runSoak(const Soak::SoakOptions& options)
+{
+    constexpr std::chrono::milliseconds startTime = 6s;
+    constexpr std::chrono::milliseconds lastResponses = 3s;
+    Soak::World world(options);
+    Soak::startWorld(world);
+    Soak::startLoadBalancer(world);
+    Soak::runFor(world, startTime);
+    Soak::startTraffic(world);
+    Soak::startFaults(world);
+    Soak::runFor(world, std::chrono::seconds(options.seconds));
+    world.trafficEnded = true;
+    Soak::runFor(world, lastResponses);
+    Soak::checkPromises(world);
+    std::cout << Soak::summarize(world) << "\n";
+    Soak::endWorld(world);
+    return world.violations.empty();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    Soak::SoakOptions options = parseOptions(argc, argv);
+    Logging::configure(Logging::Level::Error, "soak");
+    const bool isTemporary = options.folder.empty();
+    if (isTemporary)
+        options.folder
+            = (std::filesystem::temp_directory_path() / ("soak-" + std::to_string(::getpid()))).string();
+    std::filesystem::create_directories(options.folder);
+    const bool kept = runSoak(options);
+    if (isTemporary && kept)
+        std::filesystem::remove_all(options.folder);
+    else
+        std::cout << R"({"event":"logs","folder":")" << options.folder << "\"}\n";
+    return kept ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/soak/requestrecord.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <edge/calloutcome.h>
+#include <soak/requestkind.h>
+#include <soak/vmprocess.h>
+
+#include <string>
+#include <vector>
+
+namespace Soak {
+
+/// One attempt of a caller, as the caller and the upstreams saw it.
+struct RequestRecord {
+    struct Arrival {
+        std::string upstream;
+        Instant at;
+        bool ran = false;
+        /// The sending VM had not been disturbed for as long as the platform's rules ask.
+        bool vmInTouch = false;
+    };
+
+    std::string id;
+    RequestKind kind = RequestKind::Safe;
+    std::string path;
+    std::string body;
+    std::size_t vm = 0;
+    pid_t vmPid = 0;
+    Instant sentAt {};
+    Instant endedAt {};
+    bool ended = false;
+    /// The VM was disturbed after the request was sent.
+    bool vmDisturbed = false;
+    Edge::CallOutcome outcome = Edge::CallOutcome::NotConnected;
+    unsigned status = 0;
+    std::string responseBody;
+    bool stamped = false;
+    std::vector<Arrival> arrivals;
+};
+
+} // namespace Soak
--- /dev/null
+++ b/tests/soak/soakoptions.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Soak {
+
+/// Parameters of one run.
+struct SoakOptions {
+    std::uint64_t seed = 1;
+    std::size_t vms = 5;
+    std::size_t upstreams = 12;
+    /// Length of the traffic.
+    unsigned seconds = 24;
+    unsigned requestsPerSecond = 60;
+    /// Path of the daemon.
+    std::string program;
+    /// Folder for settings and logs.
+    std::string folder;
+    /// Only requests that crash upstreams and the faults named here, for experiments; all faults if empty.
+    std::string onlyFault;
+};
+
+} // namespace Soak
--- /dev/null
+++ b/tests/soak/world.cpp
@@ -0,0 +1,283 @@
+#include <soak/checks.h>
+#include <soak/world.h>
+
+#include <edge/topics.h>
+#include <granting/recordcodec.h>
+
+#include <boost/json.hpp>
+#include <boost/leaf.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+#include <unistd.h>
+
+namespace Soak {
+
+using namespace std::chrono_literals;
+namespace json = boost::json;
+using StandInSupport::HttpReply;
+using StandInSupport::HttpRequest;
+using StandInSupport::ReplyFunction;
+
+namespace {
+
+constexpr std::uint16_t storePort = 18642;
+constexpr std::uint16_t storeWayPort = 18643;
+constexpr std::uint16_t callersPort = 18641;
+constexpr std::uint16_t readinessPort = 18640;
+constexpr std::uint16_t internalPort = 18620;
+constexpr std::uint16_t upstreamPort = 18700;
+constexpr std::uint16_t upstreamWayPort = 18701;
+/// The platform's time after a disturbance until its bounds hold again.
+constexpr std::chrono::milliseconds stability = 3s;
+/// How long an upstream that a request has crashed is gone.
+constexpr std::chrono::milliseconds crashDowntime = 1500ms;
+
+/// An address of 127.0.0.0/8 that no other run uses at the same time.
+std::string addressOf(unsigned group, std::size_t number)
+{
+    const unsigned process = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(20 + process / 60 % 200) + "." + std::to_string(4 * (process % 60) + group)
+        + "." + std::to_string(1 + number);
+}
+
+Tcp::endpoint endpointOf(const std::string& address, std::uint16_t port)
+{
+    return { boost::asio::ip::make_address(address), port };
+}
+
+std::string describeSettings(const VmProcess& vm)
+{
+    const std::string port = std::to_string(internalPort);
+    return "[self]\nnode_name = \"" + vm.name + "\"\nip = \"" + vm.address
+        + "\"\nzone = \"z1\"\nregion = \"r1\"\n[self.limits]\ncpu_share = 0.2\nmemory_mb = 260\nmax_fds = "
+          "4100\n"
+          "[network]\ninternal_ports = ["
+        + port + "," + port + "]\n[network.listen]\nfront = \"" + vm.address + ":"
+        + std::to_string(callersPort) + "\"\nready = \"" + vm.address + ":" + std::to_string(readinessPort)
+        + "\"\n[network.zones]\nz1 = \"r1\"\n[platform.platform]\naddress = \"" + vm.address + ":"
+        + std::to_string(storeWayPort)
+        + "\"\n[terms.bounds]\ndrain = \"2500ms\"\ngrace = \"6s\"\napply = \"2500ms\"\nretry_ratio = 0.2\n"
+          "retry_window = \"10s\"\nretry_slack = 60\nhold_max = \"10000ms\"\n";
+}
+
+void addVm(World& world, std::size_t number)
+{
+    world.vms.push_back(std::make_unique<VmProcess>());
+    VmProcess& vm = *world.vms.back();
+    vm.address = addressOf(1, number);
+    vm.name = "vm-" + std::to_string(number + 1);
+    vm.settingsPath = world.options.folder + "/" + vm.name + ".toml";
+    vm.logPath = world.options.folder + "/" + vm.name + ".log";
+    std::ofstream(vm.settingsPath) << describeSettings(vm);
+    vm.storeWay = std::make_unique<TcpProxy>(world.context, endpointOf(addressOf(0, 0), storePort));
+    startProxy(*vm.storeWay, endpointOf(vm.address, storeWayPort));
+    if (!startProcess(vm, world.options.program))
+        violate(world, "the daemon does not start");
+}
+
+std::string identify(const UpstreamHost& upstream)
+{
+    return upstream.server.id + "/" + std::to_string(upstream.startTimeMs);
+}
+
+void recordGrantCall(World& world, const UpstreamHost& upstream, const HttpRequest& request)
+{
+    const json::object call = json::parse(request.body).as_object();
+    GrantRecords::Grant grant;
+    grant.first = json::value_to<std::uint32_t>(call.at("from"));
+    grant.last = json::value_to<std::uint32_t>(call.at("to"));
+    grant.token = json::value_to<std::uint64_t>(call.at("fence"));
+    grant.holder = identify(upstream);
+    if (!recordGrant(world.grants, grant))
+        violate(
+            world, "token not above former ones: " + grant.holder + " key " + std::to_string(grant.first));
+}
+
+void recordArrival(World& world, UpstreamHost& upstream, const HttpRequest& request, bool ran)
+{
+    const auto id = request.headers.find("x-request-id");
+    const auto found
+        = id == request.headers.end() ? world.requestIndex.end() : world.requestIndex.find(id->second);
+    if (found == world.requestIndex.end()) {
+        violate(world, "request that no caller sent: " + request.path);
+        return;
+    }
+    RequestRecord& record = world.requests[found->second];
+    if (record.path != request.path || record.body != request.body)
+        violate(world, "request changed on its way: " + record.id);
+    const Instant at = std::chrono::steady_clock::now();
+    const VmProcess& vm = *world.vms[record.vm];
+    record.arrivals.push_back({ upstream.server.id, at, ran, !vm.paused && at - vm.disturbedAt > stability });
+}
+
+void handleRequest(World& world, UpstreamHost& upstream, const StandInSupport::HttpHandler& regular,
+    const HttpRequest& request, const ReplyFunction& reply)
+{
+    if (request.path == "/grant" || request.path == "/release") {
+        regular(request, [&world, &upstream, request, reply](const HttpReply& answer) {
+            if (request.path == "/grant" && answer.status == 200)
+                recordGrantCall(world, upstream, request);
+            reply(answer);
+        });
+        return;
+    }
+    const auto expected = request.headers.find("x-expect-instance");
+    const bool isMeant = expected != request.headers.end() && expected->second == upstream.server.id;
+    if (isMeant && request.path.find("/poison/") != std::string::npos) {
+        recordArrival(world, upstream, request, true);
+        crashAndRestart(world, upstream, crashDowntime);
+        return;
+    }
+    const std::size_t ranBefore = upstream.server.ran.size();
+    regular(request, reply);
+    recordArrival(world, upstream, request, upstream.server.ran.size() > ranBefore);
+}
+
+void addUpstream(World& world, std::size_t number)
+{
+    const std::string address = addressOf(2, number);
+    world.upstreams.push_back(
+        std::make_unique<UpstreamHost>(world.context, endpointOf(address, upstreamPort)));
+    UpstreamHost& upstream = *world.upstreams.back();
+    upstream.server.id = "i-" + std::to_string(number + 1);
+    // A third of the upstreams own keys.
+    upstream.server.keyed = number % 3 == 2;
+    upstream.service = upstream.server.keyed ? "keyed" : "plain";
+    upstream.server.work = std::chrono::milliseconds(40 + 10 * (number % 7));
+    upstream.publicEndpoint = endpointOf(address, upstreamWayPort);
+    upstream.listen = address + ":" + std::to_string(upstreamPort);
+    const StandInSupport::HttpHandler regular = StandInServer::handlerOf(upstream.server);
+    upstream.httpServer.handler
+        = [&world, &upstream, regular](const HttpRequest& request, const ReplyFunction& reply) {
+              handleRequest(world, upstream, regular, request, reply);
+          };
+    startUpstream(upstream);
+    publishEntry(world, upstream);
+}
+
+std::string describeRule(const std::string& prefix, const std::string& kind, const std::string& service)
+{
+    return R"({"name":"r-)" + prefix + R"(","kind":")" + kind
+        + R"(","target_latency":"800ms","priority":1,"match":{"path_prefix":"/)" + prefix
+        + R"(/"},"action":{"service":")" + service + R"(","timeout":"1500ms","max_attempts":3}})";
+}
+
+void beat(World& world)
+{
+    constexpr std::chrono::milliseconds heartbeatInterval = 870ms;
+    for (const std::unique_ptr<UpstreamHost>& upstream : world.upstreams) {
+        if (upstream->up)
+            publishEntry(world, *upstream);
+    }
+    if (!world.trafficEnded)
+        after(world, heartbeatInterval, [&world] { beat(world); });
+}
+
+} // namespace
+
+World::World(SoakOptions options)
+    : options(std::move(options))
+    , random(this->options.seed)
+    , store(this->context)
+    , storeServer(this->context)
+    , calls(this->context)
+{
+}
+
+void violate(World& world, const std::string& what) { world.violations.push_back(what); }
+
+void startWorld(World& world)
+{
+    StandInSupport::startServing(world.storeServer, addressOf(0, 0) + ":" + std::to_string(storePort),
+        StandInStore::handlerOf(world.store));
+    publishConfiguration(world);
+    for (std::size_t number = 0; number < world.options.upstreams; ++number)
+        addUpstream(world, number);
+    for (std::size_t number = 0; number < world.options.vms; ++number)
+        addVm(world, number);
+    beat(world);
+    watchPromises(world);
+}
+
+void publishConfiguration(World& world)
+{
+    StandInStore::putRecord(world.store, "keyed.op", "config",
+        R"({"version":"r)" + std::to_string(world.configurationVersion++)
+            + R"(","limits":{"header_bytes":16384,"body_bytes":1000000,"header":"3000ms","idle_timeout":"15000ms"},)"
+              R"("listeners":[{"host":"a.example","rules":[)"
+            + describeRule("safe", "safe", "plain") + "," + describeRule("unsafe", "unsafe", "plain") + ","
+            + describeRule("key", "safe", "keyed")
+            + R"(]}],"clusters":[{"name":"plain","health_path":"/health","max_conns":90},)"
+              R"({"name":"keyed","health_path":"/health","max_conns":90,"sharded":true,"warm":"2s"}]})");
+}
+
+void publishEntry(World& world, UpstreamHost& upstream)
+{
+    StandInStore::putRecord(world.store, "keyed.servers", upstream.server.id, describeUpstream(upstream));
+}
+
+void crashAndRestart(World& world, UpstreamHost& upstream, std::chrono::milliseconds downtime)
+{
+    crashUpstream(upstream);
+    upstream.timer.expires_after(downtime);
+    upstream.timer.async_wait([&world, &upstream](const boost::system::error_code& error) {
+        if (error)
+            return;
+        startUpstream(upstream);
+        ++upstream.startTimeMs;
+        upstream.sequence = 0;
+        publishEntry(world, upstream);
+    });
+}
+
+void runFor(World& world, std::chrono::milliseconds time)
+{
+    world.context.restart();
+    world.context.run_for(time);
+}
+
+void after(World& world, std::chrono::milliseconds delay, std::function<void()> action)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(world.context, delay);
+    timer->async_wait([timer, action = std::move(action)](const boost::system::error_code& error) {
+        if (!error)
+            action();
+    });
+}
+
+std::size_t drawNumber(World& world, std::size_t low, std::size_t high)
+{
+    // The standard's distributions differ between libraries, which would change the faults of a seed.
+    return low + world.random() % (high - low + 1);
+}
+
+std::string leaderName(World& world)
+{
+    const std::vector<std::string>& records = world.store.topics[std::string(Edge::leaderTopic)].records;
+    if (records.empty())
+        return {};
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::string> {
+            BOOST_LEAF_AUTO(record, Granting::decodeLeader(records.back()));
+            return record.vm.value;
+        },
+        []() { return std::string(); });
+}
+
+void endWorld(World& world)
+{
+    constexpr std::chrono::milliseconds pollInterval = 20ms;
+    for (const std::unique_ptr<VmProcess>& vm : world.vms) {
+        if (vm->paused)
+            signalProcess(*vm, SIGCONT);
+        signalProcess(*vm, SIGKILL);
+        int status = 0;
+        while (vm->pid > 0 && !collectProcess(*vm, status))
+            std::this_thread::sleep_for(pollInterval);
+    }
+}
+
+} // namespace Soak
--- /dev/null
+++ b/tests/soak/world.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <edge/callpool.h>
+#include <soak/grantrecords.h>
+#include <soak/requestrecord.h>
+#include <soak/soakoptions.h>
+#include <soak/upstreamhost.h>
+#include <soak/vmprocess.h>
+#include <standins/store/storeservice.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+/// A fault soak: real processes of the daemon on loopback addresses, between scripted callers, upstreams and
+/// a store, under faults that a seed chooses.
+namespace Soak {
+
+/// Everything that one run consists of. A single thread runs all but the daemon's processes.
+struct World {
+    explicit World(SoakOptions options);
+    World(const World&) = delete;
+    World& operator=(const World&) = delete;
+
+    SoakOptions options;
+    boost::asio::io_context context;
+    std::mt19937_64 random;
+    StandInStore::StoreService store;
+    StandInSupport::HttpServer storeServer;
+    std::vector<std::unique_ptr<VmProcess>> vms;
+    std::vector<std::unique_ptr<UpstreamHost>> upstreams;
+    Edge::CallPool calls;
+    std::vector<RequestRecord> requests;
+    /// Index in requests by id.
+    std::map<std::string, std::size_t> requestIndex;
+    GrantRecords grants;
+    /// Promises that were not kept.
+    std::vector<std::string> violations;
+    /// Keys held twice: since when, by the ids of both holders.
+    std::map<std::pair<std::string, std::string>, Instant> doubleHolds;
+    /// When the last fault ended.
+    Instant calmSince {};
+    unsigned configurationVersion = 1;
+    bool trafficEnded = false;
+};
+
+void violate(World& world, const std::string& what);
+
+/// Starts store, upstreams and VMs, and publishes the first configuration.
+void startWorld(World& world);
+
+void publishConfiguration(World& world);
+void publishEntry(World& world, UpstreamHost& upstream);
+
+/// Crashes \a upstream and starts it again after \a downtime.
+void crashAndRestart(World& world, UpstreamHost& upstream, std::chrono::milliseconds downtime);
+
+/// Runs everything for \a time.
+void runFor(World& world, std::chrono::milliseconds time);
+
+/// Calls \a action after \a delay.
+void after(World& world, std::chrono::milliseconds delay, std::function<void()> action);
+
+/// A number from \a low to \a high.
+std::size_t drawNumber(World& world, std::size_t low, std::size_t high);
+
+/// Name of the VM that the newest record of the leader topic names; empty if there is none.
+std::string leaderName(World& world);
+
+/// Ends all processes of the run.
+void endWorld(World& world);
+
+} // namespace Soak
--- a/tests/standins/platformserver/platformserver.cpp
+++ b/tests/standins/platformserver/platformserver.cpp
@@ -51,6 +51,31 @@
     });
 }
 
+/// Removes the keys from \a first to \a last; a range that holds others too keeps those.
+void removeKeys(std::vector<HeldKeys>& ranges, std::uint32_t first, std::uint32_t last)
+{
+    std::vector<HeldKeys> kept;
+    for (const HeldKeys& keys : ranges) {
+        if (keys.last < first || last < keys.first) {
+            kept.push_back(keys);
+            continue;
+        }
+        if (keys.first < first)
+            kept.push_back({ keys.first, first - 1, keys.token, keys.until });
+        if (last < keys.last)
+            kept.push_back({ last + 1, keys.last, keys.token, keys.until });
+    }
+    ranges = std::move(kept);
+}
+
+void raiseFence(PlatformServer& server, const HeldKeys& keys)
+{
+    std::erase_if(server.fences, [&keys](const HeldKeys& fence) {
+        return keys.first <= fence.first && fence.last <= keys.last && fence.token <= keys.token;
+    });
+    server.fences.push_back(keys);
+}
+
 HttpReply grant(PlatformServer& server, const json::object& call)
 {
     HeldKeys keys;
@@ -59,9 +84,18 @@
     keys.token = json::value_to<std::uint64_t>(call.at("fence"));
     const std::string hold(call.at("hold_time").as_string());
     keys.until = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stol(hold));
+    const bool isFenced = std::any_of(server.fences.begin(), server.fences.end(), [&](const HeldKeys& fence) {
+        return fence.first <= keys.last && keys.first <= fence.last && fence.token > keys.token;
+    });
+    if (isFenced) {
+        HttpReply reply;
+        reply.status = 409;
+        return reply;
+    }
+    raiseFence(server, keys);
     if (const json::value* handover = call.if_contains("handover"))
         server.handovers.emplace_back(handover->as_string());
-    std::erase_if(server.held, [&](const HeldKeys& other) { return other.first == keys.first; });
+    removeKeys(server.held, keys.first, keys.last);
     server.held.push_back(keys);
     return {};
 }
@@ -71,8 +105,8 @@
     const std::uint32_t first = json::value_to<std::uint32_t>(call.at("from"));
     const std::uint32_t last = json::value_to<std::uint32_t>(call.at("to"));
     ++server.releases;
-    std::erase_if(
-        server.held, [&](const HeldKeys& keys) { return keys.first <= last && first <= keys.last; });
+    raiseFence(server, { first, last, json::value_to<std::uint64_t>(call.at("fence")), {} });
+    removeKeys(server.held, first, last);
     HttpReply reply;
     reply.headers["X-Handover"] = server.id + "-" + std::to_string(first);
     return reply;
--- a/tests/standins/platformserver/platformserver.h
+++ b/tests/standins/platformserver/platformserver.h
@@ -26,6 +26,8 @@
     /// May be shared, so that whichever server is asked first has the fault.
     std::shared_ptr<ServerFaults> faults = std::make_shared<ServerFaults>();
     std::vector<HeldKeys> held;
+    /// The highest tokens seen; their time does not matter.
+    std::vector<HeldKeys> fences;
     std::chrono::milliseconds work { 5 };
     /// Requests that it ran.
     std::vector<StandInSupport::HttpRequest> ran;
