Bound the memory of responses and close connections that send bytes without end

Seen: 12 bodies without end at two VMs of 260 MB, 343 MB in use. Each response was buffered up to 64 MB for itself, a chunk extension without any limit, the response to a grant up to 8 MB; interim responses and responses to other requests were read on until the attempt's timeout, and an interim response was delivered to the caller as the response.

Cause: limits for one connection where the VM's memory is one for all. Responses that are being received or sent to callers now count towards a quarter of the VM's memory; when it is used up, the connection with the largest one is closed and its request ends as malformed (502 at once, or a retry if idempotent). Unparsed bytes are limited to 128 KiB a connection, responses that belong to no request to 16, bodies of responses to grants to 4 KiB.

Test: edge.endlessbytes, nine kinds of bytes, 12 requests at once at a VM of 160 MB, and a holder that answers a grant so. Open: request bodies that callers are still sending count only when complete.

--- a/src/libs/edge/call.h
+++ b/src/libs/edge/call.h
@@ -27,6 +27,7 @@
         , handler(std::move(handler))
         , socket(context)
         , timer(context)
+        , buffer(maxUnparsedBytes)
     {
     }
 
@@ -39,6 +40,8 @@
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
     /// The call fails if its response is not complete by then.
     Utils::Instant deadline {};
+    /// The call fails if the body of its response is longer.
+    std::uint64_t maxResponseBytes = 0;
     bool usesIdleConnection = false;
     bool requestSent = false;
 };
--- a/src/libs/edge/callerconnection.h
+++ b/src/libs/edge/callerconnection.h
@@ -30,6 +30,8 @@
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser;
     /// The response that is being written.
     std::optional<HttpResponse> response;
+    /// Memory of the body of that response.
+    std::size_t responseBytes = 0;
     /// The exchange of the request in flight; 0 if there is none.
     std::uint64_t exchangeId = 0;
     /// Whether a request header has been read and its body has not been read completely.
--- a/src/libs/edge/callers.cpp
+++ b/src/libs/edge/callers.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <utility>
+
 namespace Edge {
 
 namespace http = boost::beast::http;
@@ -176,10 +178,13 @@
     caller->keepAlive = caller->keepAlive && !node.stopping;
     response.keep_alive(caller->keepAlive);
     caller->response.emplace(std::move(response));
+    caller->responseBytes = caller->response->body().capacity();
+    node.traffic.responseBytes += caller->responseBytes;
     Internal::armTimer(node, caller, Internal::responseWriteTimeout);
     http::async_write(
         caller->socket, *caller->response, [&node, caller](const Internal::ErrorCode& error, std::size_t) {
             caller->response.reset();
+            node.traffic.responseBytes -= std::exchange(caller->responseBytes, 0);
             if (!Internal::isOpen(node, *caller))
                 return;
             if (error || !caller->keepAlive) {
--- a/src/libs/edge/callpool.cpp
+++ b/src/libs/edge/callpool.cpp
@@ -23,8 +23,6 @@
 /// Connect timeout: several round trips between regions.
 constexpr Utils::Duration connectTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t maxIdleConnectionsPerEndpoint = 4;
-/// Responses of the store may contain megabytes of records.
-constexpr std::uint64_t maxResponseBytes = 8ULL << 20;
 
 std::shared_ptr<Call> findCall(CallPool& pool, std::uint64_t id)
 {
@@ -95,7 +93,7 @@
 void readResponse(CallPool& pool, std::uint64_t id, const std::shared_ptr<Call>& call)
 {
     call->parser.emplace();
-    call->parser->body_limit(maxResponseBytes);
+    call->parser->body_limit(call->maxResponseBytes);
     http::async_read(
         call->socket, call->buffer, *call->parser, [&pool, id, call](const ErrorCode& error, std::size_t) {
             if (!isPending(pool, id))
@@ -174,13 +172,14 @@
 } // namespace Internal
 
 std::uint64_t startCall(CallPool& pool, const Routing::Endpoint& endpoint, Platform::HttpRequest request,
-    Utils::Duration timeout, CallHandler handler)
+    Utils::Duration timeout, CallHandler handler, std::uint64_t maxResponseBytes)
 {
     const std::uint64_t id = ++pool.lastId;
     const std::shared_ptr<Call> call
         = std::make_shared<Call>(pool.context, endpoint, std::move(request), std::move(handler));
     pool.calls.emplace(id, call);
     call->deadline = now() + timeout;
+    call->maxResponseBytes = maxResponseBytes;
     if (Internal::acquireIdleConnection(pool, *call)) {
         Internal::armTimer(pool, id, call, timeout);
         Internal::sendRequest(pool, id, call);
--- a/src/libs/edge/callpool.h
+++ b/src/libs/edge/callpool.h
@@ -29,11 +29,15 @@
     std::map<Routing::Endpoint, std::deque<IdleConnection>> idleConnections;
 };
 
+/// Responses of the store may contain megabytes of records.
+inline constexpr std::uint64_t maxStoreResponseBytes = 8ULL << 20;
+
 /// Sends \a request to \a endpoint and calls \a handler once, never before this returns.
 /// \param timeout time until the complete response, including connecting.
+/// \param maxResponseBytes limit of the response's body.
 /// \return the id of the call.
 std::uint64_t startCall(CallPool& pool, const Routing::Endpoint& endpoint, Platform::HttpRequest request,
-    Utils::Duration timeout, CallHandler handler);
+    Utils::Duration timeout, CallHandler handler, std::uint64_t maxResponseBytes = maxStoreResponseBytes);
 
 /// Cancels a call without calling its handler. Does nothing if the call has finished.
 void cancelCall(CallPool& pool, std::uint64_t id);
--- a/src/libs/edge/grantcalls.cpp
+++ b/src/libs/edge/grantcalls.cpp
@@ -17,6 +17,8 @@
 
 /// Timeout of a release; the upstream responds when its requests for the keys have finished.
 constexpr Utils::Duration releaseTimeout = std::chrono::milliseconds(3000);
+/// Responses to grants and releases say everything in their heads.
+constexpr std::uint64_t maxGrantResponseBytes = 4096;
 
 GrantOutcome grantOutcomeFor(const CallResponse& response)
 {
@@ -67,11 +69,13 @@
     const Utils::Duration timeout
         = action.kind == GrantAction::Kind::Grant ? Granting::grantTimeout : releaseTimeout;
     const std::uint64_t term = *node.leader.leadership.term;
-    startCall(node.calls, endpoint, makeRequest(action, endpoint), timeout,
+    startCall(
+        node.calls, endpoint, makeRequest(action, endpoint), timeout,
         [&node, action, term](const CallResponse& response) {
             if (node.leader.leadership.term == term)
                 handleGrantResponse(node, action, response);
-        });
+        },
+        maxGrantResponseBytes);
 }
 
 Utils::Duration chooseKeyLease(const Node& node, Utils::Instant at)
--- /dev/null
+++ b/src/libs/edge/responsememory.cpp
@@ -0,0 +1,49 @@
+#include <edge/responsememory.h>
+
+#include <algorithm>
+
+namespace Edge {
+
+namespace Internal {
+
+/// Responses may use the VM's memory divided by this. While a buffer grows it needs up to as much again.
+constexpr std::uint64_t responseMemoryDivisor = 4;
+
+void setReceivedBytes(Node& node, UpstreamConnection& connection, std::size_t bytes)
+{
+    node.traffic.responseBytes += bytes;
+    node.traffic.responseBytes -= connection.receivedBytes;
+    connection.receivedBytes = bytes;
+}
+
+} // namespace Internal
+
+void recordReceivedBytes(Node& node, UpstreamConnection& connection)
+{
+    const std::size_t body = connection.parser ? connection.parser->get().body().capacity() : 0;
+    Internal::setReceivedBytes(node, connection, connection.buffer.capacity() + body);
+}
+
+void releaseReceivedBytes(Node& node, UpstreamConnection& connection)
+{
+    Internal::setReceivedBytes(node, connection, 0);
+}
+
+std::shared_ptr<UpstreamConnection> findExcessiveResponse(const Node& node)
+{
+    const std::uint64_t limit
+        = (std::uint64_t(node.settings.memoryMegabytes) << 20) / Internal::responseMemoryDivisor;
+    if (node.traffic.responseBytes <= limit)
+        return nullptr;
+    const auto largest
+        = std::max_element(node.traffic.upstreamConnections.begin(), node.traffic.upstreamConnections.end(),
+            [](const std::pair<const std::uint64_t, std::shared_ptr<UpstreamConnection>>& one,
+                const std::pair<const std::uint64_t, std::shared_ptr<UpstreamConnection>>& other) {
+                return one.second->receivedBytes < other.second->receivedBytes;
+            });
+    const bool isFound = largest != node.traffic.upstreamConnections.end()
+        && largest->second->receivedBytes > 0 && largest->second->exchangeId != 0;
+    return isFound ? largest->second : nullptr;
+}
+
+} // namespace Edge
--- a/src/libs/edge/sockets.h
+++ b/src/libs/edge/sockets.h
@@ -9,6 +9,9 @@
 
 using Tcp = boost::asio::ip::tcp;
 
+/// Limit of a connection's buffer for bytes that the HTTP parser has not consumed; larger than any head.
+inline constexpr std::size_t maxUnparsedBytes = std::size_t(128) << 10;
+
 /// Sets the options that make a half-open connection fail within about three seconds and send small writes
 /// without delay.
 void configureSocket(Tcp::socket& socket);
--- a/src/libs/edge/traffic.h
+++ b/src/libs/edge/traffic.h
@@ -33,6 +33,8 @@
     Balancing::PoisonRequestTracker poisonRequests;
     /// Total size of the request bodies in memory, in bytes.
     std::uint64_t bufferedBodyBytes = 0;
+    /// Memory of responses that are being received or sent to callers, in bytes.
+    std::uint64_t responseBytes = 0;
 };
 
 } // namespace Edge
--- a/src/libs/edge/upstreamconnection.h
+++ b/src/libs/edge/upstreamconnection.h
@@ -22,6 +22,7 @@
         : id(id)
         , socket(context)
         , timer(context)
+        , buffer(maxUnparsedBytes)
     {
     }
 
@@ -34,6 +35,10 @@
     boost::beast::flat_buffer buffer;
     std::optional<boost::beast::http::request<boost::beast::http::span_body<const char>>> request;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
+    /// Memory that the response in progress uses; see responsememory.h.
+    std::size_t receivedBytes = 0;
+    /// Responses that were received and did not belong to the request.
+    unsigned skippedResponses = 0;
     /// The exchange that uses the connection; 0 while it is idle.
     std::uint64_t exchangeId = 0;
     bool reused = false;
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -2,7 +2,9 @@
 #include <edge/clock.h>
 #include <edge/addressreuse.h>
 #include <edge/exchanges.h>
+#include <edge/responsememory.h>
 #include <edge/upstreams.h>
+#include <logging/log.h>
 #include <platform/headers.h>
 
 #include <boost/beast/http/read.hpp>
@@ -32,6 +34,8 @@
 /// Maximum response size. A response is buffered completely before it is forwarded, so that callers never get
 /// a truncated one.
 constexpr std::uint64_t maxResponseBytes = 64ULL << 20;
+/// Number of responses that belong to no request after which the connection is closed.
+constexpr unsigned maxSkippedResponses = 16;
 /// Subtracted from the remaining time sent to an upstream, so that a response sent at that deadline still
 /// arrives in time.
 constexpr Utils::Duration responseTransferMargin = std::chrono::milliseconds(5);
@@ -46,6 +50,7 @@
     ErrorCode ignored;
     connection.timer.cancel();
     connection.socket.close(ignored);
+    releaseReceivedBytes(node, connection);
     std::vector<std::uint64_t>& idle = node.traffic.upstreamStates[connection.upstream].idleConnectionIds;
     std::erase(idle, connection.id);
     node.traffic.upstreamConnections.erase(connection.id);
@@ -164,10 +169,30 @@
     return !serverHeaders.server.value.empty() && serverHeaders.server != expected;
 }
 
+void endAttempt(Node& node, const ConnectionPtr& connection, AttemptOutcome outcome)
+{
+    recordAttemptOutcome(node, *connection, outcome, {});
+    finishAttempt(node, connection, outcome);
+}
+
+/// Reads the next response after one that does not belong to the request.
+void skipResponse(Node& node, const ConnectionPtr& connection)
+{
+    if (++connection->skippedResponses > maxSkippedResponses)
+        endAttempt(node, connection, AttemptOutcome::MalformedResponse);
+    else
+        readResponse(node, connection);
+}
+
 void handleResponse(Node& node, const ConnectionPtr& connection)
 {
     const bool canKeepAlive = connection->parser->keep_alive();
     HttpResponse response = connection->parser->release();
+    releaseReceivedBytes(node, *connection);
+    if (http::to_status_class(response.result_int()) == http::status_class::informational) {
+        skipResponse(node, connection);
+        return;
+    }
     const Platform::ServerHeaders serverHeaders
         = Platform::parseServerHeaders(response.result_int(), response);
     const auto exchange = node.traffic.exchanges.find(connection->exchangeId);
@@ -176,7 +201,7 @@
         && serverHeaders.requestId != exchange->second->callerHeaders.requestId;
     if (isForOtherRequest && canKeepAlive) {
         // Duplicate, late response to an earlier request on this connection; the expected response follows.
-        readResponse(node, connection);
+        skipResponse(node, connection);
         return;
     }
     const AttemptOutcome outcome = isForOtherRequest ? AttemptOutcome::ConnectionLost
@@ -199,27 +224,52 @@
     return isHttpError && !isTruncated ? AttemptOutcome::MalformedResponse : AttemptOutcome::ConnectionLost;
 }
 
-void readResponse(Node& node, const ConnectionPtr& connection)
+/// Ends the attempt with the largest response if responses use too much memory.
+void enforceResponseMemory(Node& node)
 {
-    connection->parser.emplace();
-    connection->parser->body_limit(maxResponseBytes);
-    http::async_read(connection->socket, connection->buffer, *connection->parser,
+    const ConnectionPtr largest = findExcessiveResponse(node);
+    if (!largest)
+        return;
+    Logging::write(Logging::Level::Warning, "response_too_large",
+        { { "upstream", largest->upstream.value }, { "bytes", largest->receivedBytes },
+            { "all_bytes", node.traffic.responseBytes } });
+    endAttempt(node, largest, AttemptOutcome::MalformedResponse);
+}
+
+void readResponsePart(Node& node, const ConnectionPtr& connection)
+{
+    http::async_read_some(connection->socket, connection->buffer, *connection->parser,
         [&node, connection](const ErrorCode& error, std::size_t) {
             if (!isOpen(node, *connection) || connection->exchangeId == 0)
                 return;
-            if (!error) {
+            if (error) {
+                endAttempt(node, connection, outcomeForError(error));
+                return;
+            }
+            if (connection->parser->is_done()) {
                 handleResponse(node, connection);
                 return;
             }
-            recordAttemptOutcome(node, *connection, outcomeForError(error), {});
-            finishAttempt(node, connection, outcomeForError(error));
+            recordReceivedBytes(node, *connection);
+            enforceResponseMemory(node);
+            if (isOpen(node, *connection) && connection->exchangeId != 0)
+                readResponsePart(node, connection);
         });
 }
 
+void readResponse(Node& node, const ConnectionPtr& connection)
+{
+    connection->parser.emplace();
+    connection->parser->body_limit(maxResponseBytes);
+    connection->parser->eager(true);
+    readResponsePart(node, connection);
+}
+
 void sendRequest(Node& node, const ConnectionPtr& connection, const std::shared_ptr<Exchange>& exchange)
 {
     connection->sentAt = now();
     connection->requestWritten = false;
+    connection->skippedResponses = 0;
     // The request refers to the body of the exchange, which the handler keeps alive.
     http::async_write(connection->socket, *connection->request,
         [&node, connection, exchange](const ErrorCode& error, std::size_t) {
@@ -236,8 +286,7 @@
     connection->timer.async_wait([&node, connection, outcome](const ErrorCode& error) {
         if (error || !isOpen(node, *connection) || connection->exchangeId == 0)
             return;
-        recordAttemptOutcome(node, *connection, outcome, {});
-        finishAttempt(node, connection, outcome);
+        endAttempt(node, connection, outcome);
     });
 }
 
@@ -251,8 +300,7 @@
             if (!isOpen(node, *connection) || connection->exchangeId == 0)
                 return;
             if (error) {
-                recordAttemptOutcome(node, *connection, AttemptOutcome::NotConnected, {});
-                finishAttempt(node, connection, AttemptOutcome::NotConnected);
+                endAttempt(node, connection, AttemptOutcome::NotConnected);
                 return;
             }
             connection->connected = true;
