Never give all VMs together more of the retry budget than there is

A VM that only named the leader set it to 1; after a change of leader it was the number of peers, 32 at most; a leader that had just started passed on 0, for which 32 were assumed; and a restarted VM spent its share a second time in the same window. A fleet of 71 VMs could spend over twice the slack.

The leader now counts members, which it and every VM keep for 60 s; only a source that knows the number passes it on; without it, and in a VM's first window, there is no share of the slack, only the ratio of its own requests.

Tests: balancing.retrybudget (shares of all VMs, four cases), edge.relay (the number does not fall when the leader changes; a VM that names the leader says nothing of it: 0 instead of 3 without the guard, seen). Weighed and left: an account of retries at the leader, as each retry would wait for it.

--- a/src/libs/balancing/retrybudget.cpp
+++ b/src/libs/balancing/retrybudget.cpp
@@ -20,6 +20,12 @@
 
 } // namespace Internal
 
+RetryAllowance shareAllowance(const RetryAllowance& whole, std::uint32_t vmCount, Utils::Duration uptime)
+{
+    const bool hasSlack = vmCount > 0 && uptime >= whole.window;
+    return { whole.ratio, hasSlack ? whole.slack / vmCount : 0, whole.window };
+}
+
 void recordRequest(RetryBudget& budget, const RetryAllowance& allowance, Utils::Instant now)
 {
     ++Internal::findOrResetSlice(budget, Internal::sliceNumber(allowance, now)).requests;
--- a/src/libs/balancing/retrybudget.h
+++ b/src/libs/balancing/retrybudget.h
@@ -28,6 +28,12 @@
     Utils::Duration window = std::chrono::seconds(10);
 };
 
+/// Returns one VM's share of the allowance \a whole of all VMs.
+/// \param vmCount number of VMs; 0 if it is not known, in which case the VM gets no share of the slack.
+/// \param uptime time since the VM started. In its first window it gets no share of the slack either, as the
+/// VM that it replaces may have used it.
+RetryAllowance shareAllowance(const RetryAllowance& whole, std::uint32_t vmCount, Utils::Duration uptime);
+
 void recordRequest(RetryBudget& budget, const RetryAllowance& allowance, Utils::Instant now);
 
 /// Counts a retry and returns true if the allowance permits it in the current window.
--- a/src/libs/edge/crashreports.cpp
+++ b/src/libs/edge/crashreports.cpp
@@ -1,6 +1,5 @@
 #include <edge/clock.h>
 #include <edge/crashreports.h>
-#include <edge/members.h>
 #include <edge/relaylinks.h>
 #include <edge/relaysource.h>
 #include <edge/requestlog.h>
@@ -37,6 +36,8 @@
 constexpr std::size_t maxSharedSuspects = 512;
 /// Time between the first trials of two VMs after a quarantine; longer than it takes to share a crash.
 constexpr Utils::Duration trialSpacing = std::chrono::seconds(1);
+/// Number of VMs that take turns with trials until the leader has reported the number.
+constexpr std::uint32_t assumedVmCount = 32;
 
 void queueReport(Node& node, Kind kind, const AttemptObservation& attempt, bool inDatagram)
 {
@@ -222,7 +223,8 @@
 
 std::optional<Utils::Duration> quarantineLeft(const Node& node, std::uint64_t fingerprint)
 {
-    const std::uint64_t slot = Utils::stableHash(node.settings.name.value, fingerprint) % vmCountOf(node);
+    const std::uint32_t vmCount = node.relay.vmCount > 0 ? node.relay.vmCount : Internal::assumedVmCount;
+    const std::uint64_t slot = Utils::stableHash(node.settings.name.value, fingerprint) % vmCount;
     return Balancing::quarantineLeft(node.traffic.poisonRequests, fingerprint, now(),
         Internal::trialSpacing * static_cast<std::int64_t>(slot));
 }
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -7,7 +7,6 @@
 #include <edge/clock.h>
 #include <edge/crashreports.h>
 #include <edge/exchanges.h>
-#include <edge/members.h>
 #include <edge/requestlog.h>
 #include <edge/upstreams.h>
 #include <platform/headers.h>
@@ -200,8 +199,9 @@
 Balancing::RetryAllowance retryAllowanceFor(const Node& node)
 {
     const Routing::OperatingLimits& limits = node.settings.operatingLimits;
-    return { limits.retryRatio * retryBudgetShare, limits.retrySlack * retryBudgetShare / vmCountOf(node),
-        limits.retryWindow };
+    return Balancing::shareAllowance(
+        { limits.retryRatio * retryBudgetShare, limits.retrySlack * retryBudgetShare, limits.retryWindow },
+        node.relay.vmCount, now() - node.startedAt);
 }
 
 std::uint64_t computeFingerprint(const Platform::HttpRequest& request)
--- a/src/libs/edge/keyplanning.cpp
+++ b/src/libs/edge/keyplanning.cpp
@@ -96,7 +96,7 @@
         [](const std::pair<const Utils::ServiceId, Granting::Granter>& granter) {
             return granter.second.assignment.segments.empty();
         });
-    return isFirstPlacement && at < node.leader.startedAt + maxFirstPlanDelay
+    return isFirstPlacement && at < node.startedAt + maxFirstPlanDelay
         && at < node.leader.upstreamAddedAt + upstreamQuietPeriod;
 }
 
--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -162,11 +162,7 @@
 
 } // namespace Internal
 
-void startLeaderElection(Node& node)
-{
-    node.leader.startedAt = now();
-    Internal::tick(node);
-}
+void startLeaderElection(Node& node) { Internal::tick(node); }
 
 void applyLeaderRecords(Node& node, const std::vector<Platform::StoreRecord>& records)
 {
--- a/src/libs/edge/leaderstate.h
+++ b/src/libs/edge/leaderstate.h
@@ -33,7 +33,6 @@
     bool writeInProgress = false;
     /// The outcome of a write is unknown, so the assignments must be read again.
     bool rereadNeeded = false;
-    Utils::Instant startedAt {};
     Utils::Instant plannedAt {};
     /// When an upstream was last added to the directory.
     Utils::Instant upstreamAddedAt {};
--- a/src/libs/edge/members.cpp
+++ b/src/libs/edge/members.cpp
@@ -7,8 +7,6 @@
 
 /// A VM that is no longer named or subscribed is a member for this long; it may only be cut off.
 constexpr Utils::Duration memberRetention = std::chrono::seconds(60);
-/// Number of VMs that is assumed until the leader has reported the number.
-constexpr std::uint32_t assumedVmCount = 32;
 
 void removeExpiredMembers(Node& node, Utils::Instant at)
 {
@@ -43,9 +41,4 @@
     return addresses;
 }
 
-std::uint32_t vmCountOf(const Node& node)
-{
-    return node.relay.vmCount > 0 ? node.relay.vmCount : Internal::assumedVmCount;
-}
-
 } // namespace Edge
--- a/src/libs/edge/members.h
+++ b/src/libs/edge/members.h
@@ -15,7 +15,4 @@
 /// On the leader: records the subscribers and this VM as members and returns the addresses of all members.
 std::vector<std::string> collectMembers(Node& node);
 
-/// Number of VMs that share the limits of the whole system.
-std::uint32_t vmCountOf(const Node& node);
-
 } // namespace Edge
--- a/src/libs/edge/node.h
+++ b/src/libs/edge/node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <edge/clock.h>
 #include <edge/clusterview.h>
 #include <edge/callpool.h>
 #include <edge/counters.h>
@@ -38,6 +39,7 @@
     boost::asio::io_context& context;
     Routing::VmSettings settings;
     Utils::Incarnation incarnation;
+    Utils::Instant startedAt = now();
     CallPool calls;
     /// Minimum response latency of the store so far.
     Utils::Duration minStoreLatency = std::chrono::seconds(1);
--- a/src/libs/edge/relaysource.cpp
+++ b/src/libs/edge/relaysource.cpp
@@ -117,14 +117,16 @@
 void sendUpdateToSubscribers(Node& node, std::vector<Relay::RelayRecord> records)
 {
     node.relay.lastUpdateSentAt = now();
-    // Most VMs have not subscribed yet right after a change of leader.
-    const std::size_t vmCount = std::max(node.relay.subscribers.size() + 1, node.relay.peers.size());
-    if (isLeader(node) && now() - node.leader.startedAt > subscriberJoinPeriod)
-        node.relay.vmCount = static_cast<std::uint32_t>(vmCount);
+    const bool membersChanged = std::exchange(node.relay.subscribersChanged, false);
+    std::vector<std::string> members = membersChanged ? collectMembers(node) : std::vector<std::string>();
+    // Most VMs have not subscribed yet right after a change of leader, but they are still members.
+    if (isLeader(node) && now() - node.startedAt > subscriberJoinPeriod)
+        node.relay.vmCount = static_cast<std::uint32_t>(
+            std::max(node.relay.subscribers.size() + 1, node.relay.members.size()));
     Relay::Update update = makeUpdate(node, std::move(records));
-    if (std::exchange(node.relay.subscribersChanged, false)) {
+    if (membersChanged) {
         update.peers = subscriberAddresses(node);
-        update.members = collectMembers(node);
+        update.members = std::move(members);
     }
     const std::string frame = Relay::encodeFrame(update);
     for (const LinkPtr& link : subscribedLinks(node))
--- a/src/libs/edge/relaystate.h
+++ b/src/libs/edge/relaystate.h
@@ -50,7 +50,8 @@
     bool readingStarted = false;
     /// The subscribers have changed since their addresses were last sent.
     bool subscribersChanged = false;
-    /// Number of VMs according to the leader; 0 while it is not known.
+    /// Number of VMs that share the limits of the whole system, according to the leader; 0 while it is not
+    /// known.
     std::uint32_t vmCount = 0;
     /// The newest record of each key that changed the cluster view.
     std::map<std::pair<Relay::RelayTopic, std::string>, Relay::RelayRecord> newestRecords;
--- a/src/libs/edge/relaysubscriber.cpp
+++ b/src/libs/edge/relaysubscriber.cpp
@@ -217,7 +217,8 @@
 void handleUpdate(Node& node, const LinkPtr& link, const Relay::Update& update)
 {
     node.relay.lastReceivedAt = now();
-    node.relay.vmCount = update.vmCount;
+    if (update.senderIsSource && update.vmCount > 0)
+        node.relay.vmCount = update.vmCount;
     const std::optional<Granting::LeaderRecord> leader = leaf::try_handle_all(
         [&]() -> leaf::result<std::optional<Granting::LeaderRecord>> {
             BOOST_LEAF_AUTO(record, Granting::decodeLeader(update.leader));
--- a/src/libs/relay/update.h
+++ b/src/libs/relay/update.h
@@ -16,8 +16,8 @@
     Utils::Offset leaderTopicEnd = 0;
     /// The last read of the store by the sender succeeded recently.
     bool isFresh = false;
-    /// Number of VMs, the leader included.
-    std::uint32_t vmCount = 1;
+    /// Number of VMs, the leader included; 0 if the sender does not know it.
+    std::uint32_t vmCount = 0;
     std::vector<RelayRecord> records;
     /// The sender relays the records that it reads from the store; otherwise the update only names the
     /// leader.
--- a/tests/auto/balancing/tst_retrybudget.cpp
+++ b/tests/auto/balancing/tst_retrybudget.cpp
@@ -61,3 +61,27 @@
     }
     CHECK(retryTimes.size() >= 12);
 }
+
+TEST_CASE("The shares of all VMs stay within the allowance of the whole system", "[retrybudget]")
+{
+    struct Row {
+        const char* name;
+        std::uint32_t vms;
+        std::uint32_t knownVms;
+        Utils::Duration uptime;
+        double slack;
+    };
+    const RetryAllowance whole { 0.2, 60, 10s };
+    const Row row = GENERATE(values<Row>({
+        { "known number", 71, 71, 1min, 60 },
+        { "number not known yet", 71, 0, 1min, 0 },
+        { "a single VM", 1, 1, 1min, 60 },
+        // The VMs of before may have used their shares in the same window.
+        { "all VMs restarted in the window", 71, 71, 9s, 0 },
+    }));
+    INFO(row.name);
+    const RetryAllowance share = shareAllowance(whole, row.knownVms, row.uptime);
+    CHECK(share.ratio == whole.ratio);
+    CHECK(share.window == whole.window);
+    CHECK(share.slack * row.vms == Approx(row.slack));
+}
--- a/tests/auto/edge/testenvironment.cpp
+++ b/tests/auto/edge/testenvironment.cpp
@@ -118,6 +118,9 @@
     environment.vms.push_back(
         std::make_unique<Edge::Service>(environment.context, settings, 1000 + environment.vms.size()));
     Edge::Service& vm = *environment.vms.back();
+    // A VM that has just started has no share of the slack of the retry budget.
+    vm.node.relay.vmCount = 1;
+    vm.node.startedAt -= settings.operatingLimits.retryWindow;
     vm.loadSettings = [settings] { return settings; };
     Edge::startService(vm);
     return vm;
--- a/tests/auto/edge/tst_relay.cpp
+++ b/tests/auto/edge/tst_relay.cpp
@@ -2,6 +2,8 @@
 
 #include <edge/clock.h>
 #include <edge/relaysource.h>
+#include <edge/relaysubscriber.h>
+#include <granting/recordcodec.h>
 
 #include <catch2/catch.hpp>
 
@@ -257,3 +259,35 @@
     runFor(environment, 700ms);
     CHECK(subscriber.topicFollowers.reports.nextOffset == before);
 }
+
+TEST_CASE("The known number of VMs does not fall when the leader changes", "[relay]")
+{
+    // Guards against VMs that each take a larger share of a limit of the whole system.
+    TestEnvironment environment;
+    addUpstream(environment, "i-1", "plain");
+    startThreeVms(environment);
+    const auto countAtMost = [&](std::uint32_t count) {
+        return environment.vms[1]->node.relay.vmCount <= count
+            || environment.vms[2]->node.relay.vmCount <= count;
+    };
+    REQUIRE(runUntil(
+        environment, [&] { return !countAtMost(2); }, 8000ms));
+    killVm(environment, 0);
+    CHECK_FALSE(runUntil(
+        environment, [&] { return countAtMost(2); }, 7000ms));
+    CHECK((isLeader(*environment.vms[1]) || isLeader(*environment.vms[2])));
+}
+
+TEST_CASE("A VM that only names the leader says nothing about the number of VMs", "[relay]")
+{
+    TestEnvironment environment;
+    addUpstream(environment, "i-1", "plain");
+    startThreeVms(environment);
+    Edge::Node& node = environment.vms[2]->node;
+    node.relay.vmCount = 3;
+    Relay::Update update;
+    update.leader = Granting::encodeLeader(*node.leader.leadership.lastRecord);
+    update.leaderTopicEnd = *node.leader.leadership.logEnd;
+    Edge::Internal::handleUpdate(node, Edge::Internal::LinkPtr(node.relay.sourceLink), update);
+    CHECK(node.relay.vmCount == 3);
+}
