Ignore timers that expired before they were started again or cancelled

GuardedTimer runs only the handler of the last start. It replaces the timers that are started again or cancelled from elsewhere: connections to upstreams and callers, calls, deadlines and waits of requests, readers of topics, the status server, the start of reading the store. Timers that only their own handler starts again (relay, leadership, load reports, stop, settings) are left. A stale idle timeout could also close a caller's connection with its request in flight, and a stale call timeout abort a call just sent (worked out, not seen).

That a request has not run is said only if nothing of it was handed to the socket; the rule is checked where attempts end. The unused member reused goes.

Tests: edge.guardedtimer. Read and left: the product's own daemon uses Beast's stream timeouts, which guard themselves, and timers awaited by one coroutine.

--- a/src/libs/edge/call.h
+++ b/src/libs/edge/call.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <edge/callresponse.h>
+#include <edge/guardedtimer.h>
 #include <edge/sockets.h>
 #include <platform/storecalls.h>
 #include <routing/endpoint.h>
 #include <utils/time.h>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -35,7 +35,7 @@
     Platform::HttpRequest request;
     CallHandler handler;
     Tcp::socket socket;
-    boost::asio::steady_timer timer;
+    GuardedTimer timer;
     boost::beast::flat_buffer buffer;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
     /// The call fails if its response is not complete by then.
--- a/src/libs/edge/callerconnection.h
+++ b/src/libs/edge/callerconnection.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include <edge/guardedtimer.h>
 #include <edge/localresponse.h>
 #include <edge/sockets.h>
 #include <utils/time.h>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -24,7 +24,7 @@
     }
 
     std::uint64_t id;
-    boost::asio::steady_timer timer;
+    GuardedTimer timer;
     Tcp::socket socket;
     boost::beast::flat_buffer buffer;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser;
--- a/src/libs/edge/callers.cpp
+++ b/src/libs/edge/callers.cpp
@@ -31,7 +31,7 @@
 void closeCaller(Node& node, CallerConnection& caller)
 {
     ErrorCode ignored;
-    caller.timer.cancel();
+    cancelTimer(caller.timer);
     caller.socket.close(ignored);
     node.traffic.callerConnections.erase(caller.id);
 }
@@ -44,9 +44,8 @@
 
 void armTimer(Node& node, const std::shared_ptr<CallerConnection>& caller, Utils::Duration timeout)
 {
-    caller->timer.expires_after(timeout);
-    caller->timer.async_wait([&node, caller](const ErrorCode& error) {
-        if (!error && isOpen(node, *caller))
+    startTimer(caller->timer, timeout, [&node, caller] {
+        if (isOpen(node, *caller))
             closeCaller(node, *caller);
     });
 }
@@ -90,7 +89,7 @@
 
 void handleRequest(Node& node, const std::shared_ptr<CallerConnection>& caller)
 {
-    caller->timer.cancel();
+    cancelTimer(caller->timer);
     caller->keepAlive = caller->parser->keep_alive();
     Platform::HttpRequest request = caller->parser->release();
     caller->parser.reset();
--- a/src/libs/edge/callpool.cpp
+++ b/src/libs/edge/callpool.cpp
@@ -46,7 +46,7 @@
         return;
     const std::shared_ptr<Call> call = found->second;
     pool.calls.erase(found);
-    call->timer.cancel();
+    cancelTimer(call->timer);
     ErrorCode ignored;
     call->socket.close(ignored);
     call->handler(std::move(response));
@@ -63,9 +63,8 @@
 
 void armTimer(CallPool& pool, std::uint64_t id, const std::shared_ptr<Call>& call, Utils::Duration timeout)
 {
-    call->timer.expires_after(timeout);
-    call->timer.async_wait([&pool, id, call](const ErrorCode& error) {
-        if (error || !isPending(pool, id))
+    startTimer(call->timer, timeout, [&pool, id, call] {
+        if (!isPending(pool, id))
             return;
         ErrorCode ignored;
         closeIdleConnections(pool, call->endpoint);
@@ -196,7 +195,7 @@
         return;
     const std::shared_ptr<Call> call = found->second;
     pool.calls.erase(found);
-    call->timer.cancel();
+    cancelTimer(call->timer);
     Internal::ErrorCode ignored;
     call->socket.close(ignored);
 }
--- a/src/libs/edge/exchange.h
+++ b/src/libs/edge/exchange.h
@@ -1,13 +1,12 @@
 #pragma once
 
+#include <edge/guardedtimer.h>
 #include <edge/localresponse.h>
 #include <platform/callerheaders.h>
 #include <platform/storecalls.h>
 #include <routing/routetable.h>
 #include <utils/time.h>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <cstdint>
 #include <memory>
 #include <set>
@@ -53,8 +52,8 @@
     /// Whether the exchange waits for a holder of its key that can serve it.
     bool isWaitingForHolder = false;
     Utils::Instant waitingForHolderSince {};
-    boost::asio::steady_timer deadlineTimer;
-    boost::asio::steady_timer holderWaitTimer;
+    GuardedTimer deadlineTimer;
+    GuardedTimer holderWaitTimer;
 };
 
 } // namespace Edge
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -20,7 +20,6 @@
 
 namespace Internal {
 
-using ErrorCode = boost::system::error_code;
 using ExchangePtr = std::shared_ptr<Exchange>;
 using Balancing::AttemptOutcome;
 using Balancing::NextStep;
@@ -51,8 +50,8 @@
 
 void removeExchange(Node& node, const ExchangePtr& exchange)
 {
-    exchange->deadlineTimer.cancel();
-    exchange->holderWaitTimer.cancel();
+    cancelTimer(exchange->deadlineTimer);
+    cancelTimer(exchange->holderWaitTimer);
     node.traffic.bufferedBodyBytes
         -= std::min<std::uint64_t>(node.traffic.bufferedBodyBytes, exchange->request.body().size());
     node.traffic.exchanges.erase(exchange->id);
@@ -81,9 +80,8 @@
 
 void armDeadline(Node& node, const ExchangePtr& exchange)
 {
-    exchange->deadlineTimer.expires_after(exchange->deadlineAt - now());
-    exchange->deadlineTimer.async_wait([&node, exchange](const ErrorCode& error) {
-        if (!error && isActive(node, *exchange))
+    startTimer(exchange->deadlineTimer, exchange->deadlineAt - now(), [&node, exchange] {
+        if (isActive(node, *exchange))
             respondLocally(node, exchange, LocalResponseReason::DeadlineExceeded, {});
     });
 }
@@ -92,9 +90,8 @@
 void scheduleRetry(Node& node, const ExchangePtr& exchange, Utils::Duration delay)
 {
     exchange->isWaitingForHolder = true;
-    exchange->holderWaitTimer.expires_after(delay);
-    exchange->holderWaitTimer.async_wait([&node, exchange](const ErrorCode& error) {
-        if (error || !isActive(node, *exchange) || !exchange->isWaitingForHolder)
+    startTimer(exchange->holderWaitTimer, delay, [&node, exchange] {
+        if (!isActive(node, *exchange) || !exchange->isWaitingForHolder)
             return;
         exchange->isWaitingForHolder = false;
         startNextAttempt(node, exchange);
@@ -425,7 +422,7 @@
     }
     for (const Internal::ExchangePtr& exchange : waiting) {
         exchange->isWaitingForHolder = false;
-        exchange->holderWaitTimer.cancel();
+        cancelTimer(exchange->holderWaitTimer);
         Internal::startNextAttempt(node, exchange);
     }
 }
--- a/src/libs/edge/relaystate.h
+++ b/src/libs/edge/relaystate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <edge/guardedtimer.h>
 #include <edge/relaylink.h>
 #include <edge/sockets.h>
 #include <relay/relayrecord.h>
@@ -65,7 +66,7 @@
     Utils::Instant initialFrameEncodedAt {};
     boost::asio::steady_timer timer;
     /// Runs until the store is read unless a source is found before.
-    boost::asio::steady_timer storeReadTimer;
+    GuardedTimer storeReadTimer;
 };
 
 } // namespace Edge
--- a/src/libs/edge/relaysubscriber.cpp
+++ b/src/libs/edge/relaysubscriber.cpp
@@ -126,9 +126,8 @@
 
 void scheduleStoreReading(Node& node, Utils::Duration delay)
 {
-    node.relay.storeReadTimer.expires_after(delay);
-    node.relay.storeReadTimer.async_wait([&node](const ErrorCode& error) {
-        if (!error && !node.relay.isSubscribed)
+    startTimer(node.relay.storeReadTimer, delay, [&node] {
+        if (!node.relay.isSubscribed)
             resumeTopicFollowers(node);
     });
 }
@@ -146,7 +145,7 @@
         const std::uint64_t step = Utils::stableHash(node.settings.name.value) % steps;
         scheduleStoreReading(node, startupSourceSearchTimeout + maxStartupSourceSearchJitter * step / steps);
     } else {
-        node.relay.storeReadTimer.cancel();
+        cancelTimer(node.relay.storeReadTimer);
         resumeTopicFollowers(node);
     }
     checkSourceLink(node, now());
@@ -191,7 +190,7 @@
         return;
     node.relay.isSubscribed = true;
     node.relay.usesFallbackSource = link.vm.value.empty();
-    node.relay.storeReadTimer.cancel();
+    cancelTimer(node.relay.storeReadTimer);
     Logging::write(Logging::Level::Info, "dependency_regained",
         { { "dependency", node.relay.usesFallbackSource ? "source" : "leader" }, { "vm", link.vm.value } });
     pauseFollowing(node, node.topicFollowers.leader);
--- a/src/libs/edge/statusserver.cpp
+++ b/src/libs/edge/statusserver.cpp
@@ -1,6 +1,6 @@
+#include <edge/guardedtimer.h>
 #include <edge/statusserver.h>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
@@ -27,7 +27,7 @@
     {
     }
 
-    boost::asio::steady_timer timer;
+    GuardedTimer timer;
     Tcp::socket socket;
     boost::beast::flat_buffer buffer;
     std::optional<http::request_parser<http::empty_body>> parser;
@@ -48,23 +48,21 @@
             if (!error && keepAlive)
                 readNextRequest(server, client);
             else
-                client->timer.cancel();
+                cancelTimer(client->timer);
         });
 }
 
 void readNextRequest(StatusServer& server, const std::shared_ptr<Client>& client)
 {
     client->parser.emplace();
-    client->timer.expires_after(clientTimeout);
-    client->timer.async_wait([client](const ErrorCode& error) {
+    startTimer(client->timer, clientTimeout, [client] {
         ErrorCode ignored;
-        if (!error)
-            client->socket.close(ignored);
+        client->socket.close(ignored);
     });
     http::async_read(client->socket, client->buffer, *client->parser,
         [&server, client](const ErrorCode& error, std::size_t) {
             if (error)
-                client->timer.cancel();
+                cancelTimer(client->timer);
             else
                 sendResponse(server, client);
         });
--- a/src/libs/edge/topicfollower.h
+++ b/src/libs/edge/topicfollower.h
@@ -1,10 +1,9 @@
 #pragma once
 
+#include <edge/guardedtimer.h>
 #include <platform/storepage.h>
 #include <utils/time.h>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <optional>
 #include <string>
@@ -52,7 +51,7 @@
     bool newestOnly = false;
     /// The next read is that of a snapshot.
     bool snapshotNeeded = false;
-    boost::asio::steady_timer timer;
+    GuardedTimer timer;
 };
 
 } // namespace Edge
--- a/src/libs/edge/topicfollowing.cpp
+++ b/src/libs/edge/topicfollowing.cpp
@@ -14,7 +14,6 @@
 
 namespace Internal {
 
-using ErrorCode = boost::system::error_code;
 using Platform::StoreOutcome;
 
 /// Timeout of a read in addition to its long-poll timeout. A slow store responds within a third of a second.
@@ -31,9 +30,8 @@
         startNextRead(node, follower);
         return;
     }
-    follower.timer.expires_after(delay);
-    follower.timer.async_wait([&node, &follower](const ErrorCode& error) {
-        if (!error && !follower.paused && follower.callId == 0)
+    startTimer(follower.timer, delay, [&node, &follower] {
+        if (!follower.paused && follower.callId == 0)
             startNextRead(node, follower);
     });
 }
@@ -211,7 +209,7 @@
 {
     cancelCall(node.calls, follower.callId);
     follower.callId = 0;
-    follower.timer.cancel();
+    cancelTimer(follower.timer);
     follower.snapshotRecords.clear();
     follower.snapshotEnd.reset();
     follower.paused = true;
--- a/src/libs/edge/upstreamconnection.h
+++ b/src/libs/edge/upstreamconnection.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include <edge/guardedtimer.h>
 #include <edge/sockets.h>
 #include <utils/ids.h>
 #include <utils/time.h>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -31,7 +31,7 @@
     Utils::ServiceId service;
     Routing::Endpoint endpoint;
     Tcp::socket socket;
-    boost::asio::steady_timer timer;
+    GuardedTimer timer;
     boost::beast::flat_buffer buffer;
     std::optional<boost::beast::http::request<boost::beast::http::span_body<const char>>> request;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
@@ -41,8 +41,8 @@
     unsigned skippedResponses = 0;
     /// The exchange that uses the connection; 0 while it is idle.
     std::uint64_t exchangeId = 0;
-    bool reused = false;
-    bool connected = false;
+    /// Some of the request may have reached the upstream.
+    bool requestHandedOver = false;
     bool requestWritten = false;
     Utils::Instant sentAt {};
     Utils::Instant idleSince {};
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -48,7 +48,7 @@
 void closeConnection(Node& node, UpstreamConnection& connection)
 {
     ErrorCode ignored;
-    connection.timer.cancel();
+    cancelTimer(connection.timer);
     connection.socket.close(ignored);
     releaseReceivedBytes(node, connection);
     std::vector<std::uint64_t>& idle = node.traffic.upstreamStates[connection.upstream].idleConnectionIds;
@@ -85,7 +85,7 @@
         closeConnection(node, *connection);
         return;
     }
-    connection->timer.cancel();
+    cancelTimer(connection->timer);
     connection->idleSince = now();
     connection->keepAliveTimeout = keepAliveTimeout;
     node.traffic.upstreamStates[connection->upstream].idleConnectionIds.push_back(connection->id);
@@ -169,8 +169,11 @@
     return !serverHeaders.server.value.empty() && serverHeaders.server != expected;
 }
 
+/// A request has certainly not run only if nothing of it was handed to the socket.
 void endAttempt(Node& node, const ConnectionPtr& connection, AttemptOutcome outcome)
 {
+    if (outcome == AttemptOutcome::NotConnected && connection->requestHandedOver)
+        outcome = AttemptOutcome::TimedOut;
     recordAttemptOutcome(node, *connection, outcome, {});
     finishAttempt(node, connection, outcome);
 }
@@ -269,6 +272,7 @@
 {
     connection->sentAt = now();
     connection->requestWritten = false;
+    connection->requestHandedOver = true;
     connection->skippedResponses = 0;
     // The request refers to the body of the exchange, which the handler keeps alive.
     http::async_write(connection->socket, *connection->request,
@@ -282,9 +286,8 @@
 
 void armTimer(Node& node, const ConnectionPtr& connection, Utils::Duration timeout, AttemptOutcome outcome)
 {
-    connection->timer.expires_after(timeout);
-    connection->timer.async_wait([&node, connection, outcome](const ErrorCode& error) {
-        if (error || !isOpen(node, *connection) || connection->exchangeId == 0)
+    startTimer(connection->timer, timeout, [&node, connection, outcome] {
+        if (!isOpen(node, *connection) || connection->exchangeId == 0)
             return;
         endAttempt(node, connection, outcome);
     });
@@ -303,7 +306,6 @@
                 endAttempt(node, connection, AttemptOutcome::NotConnected);
                 return;
             }
-            connection->connected = true;
             configureSocket(connection->socket);
             armTimer(node, connection, timeout, AttemptOutcome::TimedOut);
             sendRequest(node, connection, exchange);
@@ -356,7 +358,7 @@
         connection->endpoint = upstream.endpoint;
         node.traffic.upstreamConnections.emplace(connection->id, connection);
     }
-    connection->reused = reused;
+    connection->requestHandedOver = false;
     connection->exchangeId = exchange->id;
     exchange->connectionId = connection->id;
     const Utils::Instant at = now();
@@ -379,7 +381,7 @@
         return;
     const Internal::ConnectionPtr connection = found->second;
     connection->exchangeId = 0;
-    exchange.mayHaveRun = exchange.mayHaveRun || connection->connected;
+    exchange.mayHaveRun = exchange.mayHaveRun || connection->requestHandedOver;
     Balancing::recordAbandonedRequest(node.traffic.upstreamStates[connection->upstream].load);
     Internal::closeConnection(node, *connection);
 }
