Recover when the store comes back from an older copy

Cause: offsets go back and are given out again, and nothing told them from those of before: readers waited at positions that did not exist, or went on in another history, terms and tokens could repeat, and records of the leader and its assignments were gone.

The platform's header Store-Era is decoded in platform/ and is part of every position (era above 36 bits of offset), so that positions, terms and tokens rise over all eras. A response of another era than its request's counts as unknown, for appends too. A leader that led when the store returned may acquire the lease again at once, unless another VM has; all others wait for a lease, whatever the copy says of resignations and former processes. Leader records name the era up to which all assignments are known (settled_era); a leader that can't know the lost ones waits until every unknown key lease has expired (10.85 s at hold_max 10 s). Logs: store_returned, topic_restarted, grants_deferred; three metrics. Without the header nothing changes.

No key held twice, no token not above former ones. tst_leadership has the rule as a table of nine cases. Not done: the model of two leaders (granting.grantsafety) has no such step; eras from 128 on would overflow the tokens.

--- a/src/libs/edge/assignmentrecords.cpp
+++ b/src/libs/edge/assignmentrecords.cpp
@@ -4,12 +4,15 @@
 #include <edge/topicfollowing.h>
 #include <edge/relay.h>
 #include <edge/storecalls.h>
+#include <edge/storeera.h>
 #include <edge/topics.h>
 #include <granting/recordcodec.h>
 #include <logging/log.h>
 
 #include <boost/leaf.hpp>
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace Edge {
 
@@ -82,13 +85,35 @@
     }
 }
 
+/// Replaces assignments in \a stored by newer ones that this VM knows: the store may have returned from a
+/// copy that lacks them. Returns the services for which it does.
+std::set<Utils::ServiceId> replaceByNewerInMemory(
+    const Node& node, std::map<Utils::ServiceId, Granting::KeyAssignment>& stored)
+{
+    std::set<Utils::ServiceId> replaced;
+    const std::map<Utils::ServiceId, Granting::KeyAssignment>& known = node.clusterView.assignments;
+    for (auto it = known.begin(); it != known.end(); ++it) {
+        const Granting::KeyAssignment& assignment = it->second;
+        const auto found = stored.find(it->first);
+        const bool isNewer = found == stored.end()
+            || std::pair(assignment.term, assignment.version)
+                > std::pair(found->second.term, found->second.version);
+        if (!isNewer || assignment.segments.empty())
+            continue;
+        stored[it->first] = assignment;
+        replaced.insert(it->first);
+    }
+    return replaced;
+}
+
 /// Applies assignments that were read from the store. Until the first write of this leader has succeeded, the
 /// granters are initialized from them, as an earlier read may have been stale. After that the granters are
 /// authoritative: a differing record is either a write of this leader whose outcome was unknown, or a delayed
 /// write of a previous leader; both are overwritten.
 void applyStoredAssignments(Node& node, const Platform::StorePage& page)
 {
-    const std::map<Utils::ServiceId, Granting::KeyAssignment> stored = decodeAssignments(page);
+    std::map<Utils::ServiceId, Granting::KeyAssignment> stored = decodeAssignments(page);
+    const std::set<Utils::ServiceId> newerInMemory = replaceByNewerInMemory(node, stored);
     node.leader.assignmentTopicEnd = page.endOffset;
     node.leader.rereadNeeded = false;
     for (auto it = stored.begin(); it != stored.end(); ++it) {
@@ -97,6 +122,7 @@
             node.leader.granters[it->first] = Granting::takeOver(
                 it->second, *node.leader.leadership.term, node.settings.operatingLimits.maxKeyLease, now());
             recordTerminatedUpstreams(node, node.leader.granters[it->first]);
+            node.leader.granters[it->first].hasUnwrittenChanges = newerInMemory.contains(it->first);
             continue;
         }
         granter->second.assignment.version = std::max(granter->second.assignment.version, it->second.version);
@@ -122,7 +148,7 @@
                 [&]() -> leaf::result<std::optional<Utils::Offset>> {
                     if (outcome != StoreOutcome::Done)
                         return std::optional<Utils::Offset>();
-                    BOOST_LEAF_AUTO(first, Platform::decodeAppendResponse(body));
+                    BOOST_LEAF_AUTO(first, Platform::decodeAppendResponse(body, storeEraOf(node)));
                     return std::optional<Utils::Offset>(first);
                 },
                 [&]() { return std::optional<Utils::Offset>(); });
@@ -149,7 +175,7 @@
                 return;
             leaf::try_handle_all(
                 [&]() -> leaf::result<void> {
-                    BOOST_LEAF_AUTO(page, Platform::decodeNewestRecordsResponse(body));
+                    BOOST_LEAF_AUTO(page, Platform::decodeNewestRecordsResponse(body, storeEraOf(node)));
                     applyStoredAssignments(node, page);
                     return {};
                 },
--- a/src/libs/edge/counters.h
+++ b/src/libs/edge/counters.h
@@ -20,6 +20,8 @@
     std::uint64_t retries = 0;
     std::uint64_t callersDisconnected = 0;
     std::uint64_t newConnections = 0;
+    std::uint64_t storeReturns = 0;
+    std::uint64_t topicRestarts = 0;
 };
 
 } // namespace Edge
--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -8,6 +8,7 @@
 #include <edge/leaderelection.h>
 #include <edge/relay.h>
 #include <edge/storecalls.h>
+#include <edge/storeera.h>
 #include <edge/topics.h>
 #include <granting/grantingconstants.h>
 #include <granting/recordcodec.h>
@@ -54,9 +55,23 @@
     node.leader.assignmentTopicEnd.reset();
 }
 
+/// Decides whether this VM, which is about to acquire the lease, knows all assignments that may be in force.
+void updateSettledEra(Node& node)
+{
+    LeaderState& leader = node.leader;
+    Granting::Leadership& leadership = leader.leadership;
+    const bool isSettled = !leadership.lastRecord || leadership.lastRecord->settledEra == leadership.storeEra
+        || leader.settledEra == leadership.storeEra;
+    leadership.self.settledEra = isSettled ? leadership.storeEra : leadership.lastRecord->settledEra;
+    if (isSettled)
+        leader.settledEra = leadership.storeEra;
+}
+
 void appendLeaseRecord(Node& node)
 {
     Granting::Leadership& leadership = node.leader.leadership;
+    if (!leadership.term)
+        updateSettledEra(node);
     Granting::recordAppendSent(leadership, now());
     Platform::AppendParameters parameters;
     parameters.topic = leaderTopic;
@@ -76,7 +91,7 @@
             }
             leaf::try_handle_all(
                 [&]() -> leaf::result<void> {
-                    BOOST_LEAF_AUTO(offset, Platform::decodeAppendResponse(body));
+                    BOOST_LEAF_AUTO(offset, Platform::decodeAppendResponse(body, storeEraOf(node)));
                     Granting::recordAppendSucceeded(leadership, offset);
                     return {};
                 },
@@ -91,11 +106,27 @@
         });
 }
 
+/// After the store has returned from a copy, upstreams may hold keys by grants that no record shows. Unless
+/// this VM knows of all, it waits until they have expired.
+void deferGrantsUnlessSettled(Node& node, Utils::Instant at)
+{
+    LeaderState& leader = node.leader;
+    leader.grantsNotBefore = at;
+    if (leader.leadership.self.settledEra == leader.leadership.storeEra)
+        return;
+    leader.grantsNotBefore = Granting::latestFormerLeaseExpiry(node.settings.operatingLimits.maxKeyLease, at);
+    Logging::write(Logging::Level::Warning, "grants_deferred",
+        { { "era", leader.leadership.storeEra }, { "settled_era", leader.leadership.self.settledEra },
+            { "ms", Utils::toMilliseconds(leader.grantsNotBefore - at) } });
+}
+
 void runLeaderTasks(Node& node, Utils::Instant at)
 {
     LeaderState& leader = node.leader;
-    if (leader.loggedTerm != leader.leadership.term)
+    if (leader.loggedTerm != leader.leadership.term) {
         logLeading(leader.leadership);
+        deferGrantsUnlessSettled(node, at);
+    }
     leader.loggedTerm = leader.leadership.term;
     if (!leader.assignmentTopicEnd || leader.rereadNeeded) {
         if (!leader.readInProgress)
@@ -103,6 +134,10 @@
         if (!leader.hasWrittenInTerm)
             return;
     }
+    if (at < leader.grantsNotBefore)
+        return;
+    leader.settledEra = leader.leadership.storeEra;
+    leader.leadership.self.settledEra = leader.settledEra;
     if (!leader.rereadNeeded)
         planKeyPlacements(node, at);
     // Nothing is granted before the first write has shown that the records read before were the newest.
@@ -209,8 +244,11 @@
     parameters.expectedEnd = *leadership.logEnd;
     Granting::stepDown(leadership);
     Internal::clearLeaderState(node, "resigned");
+    Granting::LeaderRecord resignation;
+    resignation.settledEra = leadership.self.settledEra;
     callStore(node,
-        Platform::makeAppendRequest(node.settings.storeEndpoint, parameters, { Granting::encodeLeader({}) }),
+        Platform::makeAppendRequest(
+            node.settings.storeEndpoint, parameters, { Granting::encodeLeader(resignation) }),
         Internal::appendTimeout, [](Platform::StoreOutcome outcome, const std::string&) {
             Logging::write(Logging::Level::Info, "resigned",
                 { { "outcome", Utils::enumName(Platform::storeOutcomeNames, outcome) } });
--- a/src/libs/edge/leaderstate.h
+++ b/src/libs/edge/leaderstate.h
@@ -34,6 +34,10 @@
     /// The outcome of a write is unknown, so the assignments must be read again.
     bool rereadNeeded = false;
     Utils::Instant plannedAt {};
+    /// Era of the store in which this VM knows all assignments that may be in force.
+    std::uint64_t settledEra = 0;
+    /// No keys are planned or granted before, as unknown grants may be in force.
+    Utils::Instant grantsNotBefore {};
     /// When an upstream was last added to the directory.
     Utils::Instant upstreamAddedAt {};
     /// The last term whose start was logged.
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -21,6 +21,9 @@
         clusterView.routeTable ? static_cast<double>(clusterView.routeTable->configuration.version) : 0);
     writeSingleSample(text, "crocus_upstreams", "gauge", "Upstreams known",
         static_cast<double>(clusterView.directory.entries.size()));
+    writeSingleSample(text, "crocus_store_era", "gauge",
+        "Era of the store; rises when it returns from a copy",
+        static_cast<double>(node.storeEra.value_or(0)));
     writeSingleSample(text, "crocus_leading", "gauge", "1 while this VM grants keys", isLeading ? 1 : 0);
     writeSingleSample(text, "crocus_relied_on_leader", "gauge", "1 while the leader passes on what is new",
         node.relay.isSubscribed ? 1 : 0);
@@ -59,6 +62,11 @@
         "Callers that left before their answer", static_cast<double>(counters.callersDisconnected));
     Internal::writeSingleSample(text, "crocus_new_connections_total", "counter",
         "Connections made to upstreams", static_cast<double>(counters.newConnections));
+    Internal::writeSingleSample(text, "crocus_store_returns_total", "counter",
+        "Returns of the store from an older copy", static_cast<double>(counters.storeReturns));
+    Internal::writeSingleSample(text, "crocus_topic_restarts_total", "counter",
+        "Topics that were read anew as their positions were lost",
+        static_cast<double>(counters.topicRestarts));
     Internal::writeGauges(text, node);
     Metrics::writeHeading(
         text, "crocus_answer_seconds", "histogram", "From a request to an upstream's answer");
--- a/src/libs/edge/node.h
+++ b/src/libs/edge/node.h
@@ -14,6 +14,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
+#include <optional>
+
 namespace Edge {
 
 /// A store whose minimum response latency is higher is in another region; between regions the network latency
@@ -41,6 +44,8 @@
     Utils::Incarnation incarnation;
     Utils::Instant startedAt = now();
     CallPool calls;
+    /// Era of the store; empty before its first response that has one.
+    std::optional<std::uint64_t> storeEra;
     /// Minimum response latency of the store so far.
     Utils::Duration minStoreLatency = std::chrono::seconds(1);
     TopicFollowers topicFollowers;
--- a/src/libs/edge/relaysubscriber.cpp
+++ b/src/libs/edge/relaysubscriber.cpp
@@ -8,6 +8,7 @@
 #include <granting/recordcodec.h>
 #include <logging/log.h>
 #include <platform/storecalls.h>
+#include <platform/storeposition.h>
 #include <relay/framecodec.h>
 #include <utils/hash.h>
 
@@ -240,7 +241,9 @@
         node.relay.peers = update.peers;
     if (!update.members.empty())
         recordMembers(node, update.members);
-    Granting::recordLogRead(node.leader.leadership, update.leaderTopicEnd, leader, now());
+    // The sender may not know yet that the store has returned from an older copy.
+    if (Platform::eraOf(update.leaderTopicEnd) >= node.leader.leadership.storeEra)
+        Granting::recordLogRead(node.leader.leadership, update.leaderTopicEnd, leader, now());
     // A VM that is not a source sends a single response, which names the leader.
     if (!update.senderIsSource) {
         closeLink(node, link, "leader_named");
--- a/src/libs/edge/storecalls.cpp
+++ b/src/libs/edge/storecalls.cpp
@@ -1,5 +1,7 @@
 #include <edge/clock.h>
 #include <edge/storecalls.h>
+#include <edge/storeera.h>
+#include <platform/headers.h>
 
 #include <algorithm>
 
@@ -28,10 +30,15 @@
     Node& node, Platform::HttpRequest request, Utils::Duration timeout, StoreHandler handler)
 {
     return startCall(node.calls, node.settings.storeEndpoint, std::move(request), timeout,
-        [&node, handler = std::move(handler), sentAt = now()](CallResponse response) {
-            if (response.outcome == CallOutcome::Responded)
+        [&node, handler = std::move(handler), sentAt = now(), eraAtSend = node.storeEra](
+            CallResponse response) {
+            Platform::StoreOutcome outcome = Internal::storeOutcomeFor(response);
+            if (response.outcome == CallOutcome::Responded) {
                 node.minStoreLatency = std::min(node.minStoreLatency, now() - sentAt);
-            const Platform::StoreOutcome outcome = Internal::storeOutcomeFor(response);
+                // The offsets of the request mean something else in another era.
+                if (!noteStoreEra(node, Platform::parseStoreEra(response.fields), eraAtSend))
+                    outcome = Platform::StoreOutcome::Unknown;
+            }
             node.counters.storeCalls.add(outcome);
             handler(outcome, std::move(response.body));
         });
--- a/src/libs/edge/topicfollowing.cpp
+++ b/src/libs/edge/topicfollowing.cpp
@@ -1,8 +1,10 @@
 #include <edge/clock.h>
 #include <edge/topicfollowing.h>
 #include <edge/storecalls.h>
+#include <edge/storeera.h>
 #include <logging/log.h>
 #include <platform/fieldname.h>
+#include <platform/storeposition.h>
 
 #include <boost/leaf.hpp>
 
@@ -22,8 +24,19 @@
 constexpr Utils::Duration minRetryInterval = std::chrono::milliseconds(150);
 constexpr Utils::Duration maxRetryInterval = std::chrono::milliseconds(600);
 
+/// Delay of the read after one whose response shows that the store has returned from an older copy.
+constexpr Utils::Duration returnedStoreReadDelay = std::chrono::milliseconds(10);
+
 void startNextRead(Node& node, TopicFollower& follower);
 
+/// Whether the next position of \a follower is of a former era: its offset is that of another record now, or
+/// of none.
+bool isFormerPosition(const Node& node, const TopicFollower& follower)
+{
+    return follower.nextOffset && Platform::eraOf(*follower.nextOffset) < storeEraOf(node)
+        && Platform::offsetOf(*follower.nextOffset) != 0;
+}
+
 void scheduleNextRead(Node& node, TopicFollower& follower, Utils::Duration delay)
 {
     if (delay <= Utils::Duration::zero()) {
@@ -44,6 +57,10 @@
                 { "outcome", Utils::enumName(Platform::storeOutcomeNames, outcome) } });
     }
     Routing::recordStoreOutage(node.clusterView.directory, now());
+    if (isFormerPosition(node, follower)) {
+        scheduleNextRead(node, follower, returnedStoreReadDelay);
+        return;
+    }
     scheduleNextRead(node, follower,
         std::min(minRetryInterval * std::min(follower.consecutiveFailures, 8U), maxRetryInterval));
 }
@@ -122,8 +139,8 @@
                 handleReadFailure(node, follower, outcome);
                 return;
             }
-            std::optional<Platform::StorePage> page
-                = decodePage(node, follower, [&body] { return Platform::decodeNewestRecordsResponse(body); });
+            std::optional<Platform::StorePage> page = decodePage(node, follower,
+                [&node, &body] { return Platform::decodeNewestRecordsResponse(body, storeEraOf(node)); });
             if (page)
                 handleSnapshotPage(node, follower, std::move(*page));
         });
@@ -139,7 +156,9 @@
         follower.nextOffset.reset();
     } else {
         follower.nextOffset = leaf::try_handle_all(
-            [&]() -> leaf::result<Utils::Offset> { return Platform::decodeFirstRetainedOffset(body); },
+            [&]() -> leaf::result<Utils::Offset> {
+                return Platform::decodeFirstRetainedOffset(body, storeEraOf(node));
+            },
             [&]() { return *follower.nextOffset; });
     }
     scheduleNextRead(node, follower, minRetryInterval);
@@ -168,8 +187,9 @@
         handleReadFailure(node, follower, outcome);
         return;
     }
-    const std::optional<Platform::StorePage> page = decodePage(node, follower,
-        [&] { return Platform::decodeReadResponse(body, from, Platform::isKeyed(follower.topic)); });
+    const std::optional<Platform::StorePage> page = decodePage(node, follower, [&] {
+        return Platform::decodeReadResponse(body, from, Platform::isKeyed(follower.topic), storeEraOf(node));
+    });
     if (page)
         handleReadPage(node, follower, *page);
 }
@@ -190,8 +210,22 @@
         });
 }
 
+void dropFormerPosition(Node& node, TopicFollower& follower)
+{
+    if (!isFormerPosition(node, follower))
+        return;
+    Logging::write(Logging::Level::Info, "topic_restarted",
+        { { "topic", follower.topic }, { "offset", Platform::offsetOf(*follower.nextOffset) },
+            { "former", Platform::eraOf(*follower.nextOffset) }, { "era", storeEraOf(node) } });
+    ++node.counters.topicRestarts;
+    follower.nextOffset.reset();
+    follower.snapshotRecords.clear();
+    follower.snapshotEnd.reset();
+}
+
 void startNextRead(Node& node, TopicFollower& follower)
 {
+    dropFormerPosition(node, follower);
     const bool keyed = Platform::isKeyed(follower.topic);
     if (!follower.nextOffset && !keyed)
         follower.nextOffset = 0;
--- a/src/libs/granting/granter.cpp
+++ b/src/libs/granting/granter.cpp
@@ -237,14 +237,19 @@
 
 } // namespace Internal
 
+Utils::Instant latestFormerLeaseExpiry(Utils::Duration maxKeyLease, Utils::Instant now)
+{
+    // The previous leader's last grants may still be in flight.
+    return Internal::latestLeaseExpiry(maxKeyLease, now + grantTimeout);
+}
+
 Granter takeOver(
     KeyAssignment assignment, std::uint64_t term, Utils::Duration maxKeyLease, Utils::Instant now)
 {
     Granter granter;
     granter.assignment = std::move(assignment);
     granter.assignment.term = term;
-    // The previous leader's last grants may still be in flight.
-    const Utils::Instant leaseExpiry = Internal::latestLeaseExpiry(maxKeyLease, now + grantTimeout);
+    const Utils::Instant leaseExpiry = latestFormerLeaseExpiry(maxKeyLease, now);
     for (Segment& segment : granter.assignment.segments) {
         segment.token = 0;
         if (!segment.holder.value.empty())
--- a/src/libs/granting/granter.h
+++ b/src/libs/granting/granter.h
@@ -40,6 +40,9 @@
 Granter takeOver(
     KeyAssignment assignment, std::uint64_t term, Utils::Duration maxKeyLease, Utils::Instant now);
 
+/// The time at which the last key lease that a former leader granted has expired, even if it is not known.
+Utils::Instant latestFormerLeaseExpiry(Utils::Duration maxKeyLease, Utils::Instant now);
+
 /// Returns the record to write: the segments in force, or those of \a plan. The record names every upstream
 /// that may hold keys, so that the next leader knows them. The store has to acknowledge it before
 /// applyWrittenRecord() is called.
--- a/src/libs/granting/leaderrecord.h
+++ b/src/libs/granting/leaderrecord.h
@@ -3,6 +3,8 @@
 #include <routing/endpoint.h>
 #include <utils/ids.h>
 
+#include <cstdint>
+
 namespace Granting {
 
 /// The current leader, as recorded in the store.
@@ -12,6 +14,9 @@
     Utils::Incarnation incarnation = 0;
     /// Where the leader receives load reports.
     Routing::Endpoint loadReportEndpoint;
+    /// The era of the store in which the leader knows all assignments that were ever granted. Lower than the
+    /// store's if the store returned from an older copy and grants of the lost time may still be in force.
+    std::uint64_t settledEra = 0;
 
     bool operator==(const LeaderRecord&) const = default;
 };
--- a/src/libs/granting/leadership.cpp
+++ b/src/libs/granting/leadership.cpp
@@ -13,9 +13,12 @@
 }
 
 /// Whether the lease of \a record can be acquired without waiting for its expiry: the leader has resigned, or
-/// it was an earlier process at this VM's address, which has terminated.
+/// it was an earlier process at this VM's address, which has terminated. A record of a former era may have
+/// been followed by others that are lost.
 bool isLeaseVoid(const Leadership& leadership, const LeaderRecord& record)
 {
+    if (record.settledEra != leadership.storeEra)
+        return false;
     return record.vm.value.empty()
         || (record.loadReportEndpoint.address == leadership.self.loadReportEndpoint.address
             && !isOwn(leadership, record));
@@ -30,9 +33,14 @@
 
 bool isLeaseAcquisitionDue(const Leadership& leadership, double jitter, Utils::Instant now)
 {
+    if (now < leadership.acquireNotBefore)
+        return false;
+    if (now < leadership.reacquireUntil && leadership.firstEndInEra == leadership.logEnd)
+        return true;
     const Utils::Duration delay(
         static_cast<std::int64_t>(static_cast<double>(maxLeaseAcquisitionJitter.count()) * jitter));
-    if (leadership.lastRecord && isOwn(leadership, *leadership.lastRecord))
+    if (leadership.lastRecord && isOwn(leadership, *leadership.lastRecord)
+        && leadership.lastRecord->settledEra == leadership.storeEra)
         return true;
     const bool isFree = !leadership.lastRecord || isLeaseVoid(leadership, *leadership.lastRecord);
     return now >= leadership.lastRecordSeenAt
@@ -102,6 +110,8 @@
         = leadership.unknownAppendSince ? leadership.unknownAppendSince : leadership.pendingAppendSince;
     leadership.unknownAppendSince.reset();
     leadership.logEnd = end;
+    if (!leadership.firstEndInEra)
+        leadership.firstEndInEra = end;
     leadership.lastRecord = record;
     leadership.lastRecordSeenAt = now;
     if (!record || !Internal::isOwn(leadership, *record)) {
@@ -115,6 +125,27 @@
         leadership.term = end - 1;
 }
 
+bool mayLeadAgain(const Leadership& leadership, Utils::Instant now)
+{
+    const bool isUncontested = !leadership.firstEndInEra || leadership.firstEndInEra == leadership.logEnd;
+    return holdsLeaderLease(leadership, now) || (now < leadership.reacquireUntil && isUncontested);
+}
+
+void recordStoreReturn(Leadership& leadership, std::uint64_t era, Utils::Instant now)
+{
+    const bool isLeading = mayLeadAgain(leadership, now);
+    // Other VMs wait for longer than this before they acquire the lease.
+    leadership.reacquireUntil = isLeading ? now + leaderLeaseDuration : Utils::Instant {};
+    leadership.acquireNotBefore = isLeading ? now : now + Internal::withDriftAndMargin(leaderLeaseDuration);
+    leadership.storeEra = era;
+    leadership.term.reset();
+    leadership.logEnd.reset();
+    leadership.lastRecord.reset();
+    leadership.firstEndInEra.reset();
+    leadership.pendingAppendSince.reset();
+    leadership.unknownAppendSince.reset();
+}
+
 void stepDown(Leadership& leadership) { leadership.term.reset(); }
 
 } // namespace Granting
--- a/src/libs/granting/leadership.h
+++ b/src/libs/granting/leadership.h
@@ -26,6 +26,14 @@
     /// End of this VM's leader lease.
     Utils::Instant leaseExpiry {};
     Utils::Instant lastAppendSentAt {};
+    /// Era of the store.
+    std::uint64_t storeEra = 0;
+    /// End of the log when it was first read in this era.
+    std::optional<Utils::Offset> firstEndInEra;
+    /// The lease is not acquired before: a leader of the former era may not know yet that the store returned.
+    Utils::Instant acquireNotBefore {};
+    /// The VM led when the store returned, and may acquire the lease again until then unless another VM has.
+    Utils::Instant reacquireUntil {};
 };
 
 /// Whether this VM may act as leader at \a now.
@@ -53,6 +61,13 @@
 void recordLogRead(
     Leadership& leadership, Utils::Offset end, const std::optional<LeaderRecord>& record, Utils::Instant now);
 
+/// Whether this VM may still act as leader, or would if the store had not returned from an older copy.
+bool mayLeadAgain(const Leadership& leadership, Utils::Instant now);
+
+/// Records that the store returned from an older copy and has begun the era \a era. What was read or written
+/// before may be gone, so the VM does not lead until it has acquired the lease in the new era.
+void recordStoreReturn(Leadership& leadership, std::uint64_t era, Utils::Instant now);
+
 /// Stops leading at once, as another VM has used a later term.
 void stepDown(Leadership& leadership);
 
--- a/src/libs/granting/recordcodec.cpp
+++ b/src/libs/granting/recordcodec.cpp
@@ -68,6 +68,9 @@
     record.incarnation = json::value_to<std::uint64_t>(object.at("incarnation"));
     record.loadReportEndpoint.address = json::value_to<std::string>(object.at("address"));
     record.loadReportEndpoint.port = json::value_to<std::uint16_t>(object.at("port"));
+    // Absent in records of former versions.
+    if (const json::value* era = object.if_contains("settled_era"))
+        record.settledEra = json::value_to<std::uint64_t>(*era);
     return record;
 }
 
@@ -92,7 +95,8 @@
 std::string encodeLeader(const LeaderRecord& record)
 {
     return json::serialize(json::object { { "vm", record.vm.value }, { "incarnation", record.incarnation },
-        { "address", record.loadReportEndpoint.address }, { "port", record.loadReportEndpoint.port } });
+        { "address", record.loadReportEndpoint.address }, { "port", record.loadReportEndpoint.port },
+        { "settled_era", record.settledEra } });
 }
 
 leaf::result<LeaderRecord> decodeLeader(std::string_view text)
--- a/src/libs/platform/headernames.h
+++ b/src/libs/platform/headernames.h
@@ -14,6 +14,7 @@
 inline constexpr std::string_view serverIdHeader = "X-Instance-Id";
 inline constexpr std::string_view keyHeader = "X-Shard-Key";
 inline constexpr std::string_view handoverHeader = "X-Handover";
+inline constexpr std::string_view storeEraHeader = "Store-Era";
 inline constexpr std::string_view keepAliveHeader = "Keep-Alive";
 
 } // namespace Platform::Internal
--- a/src/libs/platform/headers.cpp
+++ b/src/libs/platform/headers.cpp
@@ -97,6 +97,11 @@
     return serverHeaders;
 }
 
+std::optional<std::uint64_t> parseStoreEra(const HttpFields& fields)
+{
+    return Internal::parseNumber<std::uint64_t>(Internal::fieldValue(fields, Internal::storeEraHeader));
+}
+
 void setForwardingHeaders(
     HttpFields& fields, const Utils::UpstreamId& upstream, Utils::Duration remainingTime)
 {
--- a/src/libs/platform/headers.h
+++ b/src/libs/platform/headers.h
@@ -5,6 +5,9 @@
 
 #include <boost/beast/http/fields.hpp>
 
+#include <cstdint>
+#include <optional>
+
 /// Reads and writes the platform's headers of requests and responses.
 namespace Platform {
 
@@ -16,6 +19,9 @@
 /// Reads the headers of a server's response. Malformed values are treated as absent.
 ServerHeaders parseServerHeaders(unsigned status, const HttpFields& fields);
 
+/// Returns the era of the store that sent a response, if the response has one.
+std::optional<std::uint64_t> parseStoreEra(const HttpFields& fields);
+
 /// Sets the expected server and the remaining time on a forwarded request. The remaining time is sent as at
 /// least 1 ms.
 void setForwardingHeaders(
--- a/src/libs/platform/storecalls.cpp
+++ b/src/libs/platform/storecalls.cpp
@@ -2,6 +2,7 @@
 #include <platform/fieldname.h>
 #include <platform/jsonfields.h>
 #include <platform/storecalls.h>
+#include <platform/storeposition.h>
 
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/beast/http/verb.hpp>
@@ -114,7 +115,7 @@
 HttpRequest makeReadRequest(
     const Routing::Endpoint& store, std::string_view topic, Utils::Offset from, Utils::Duration wait)
 {
-    std::string target = Internal::makeTarget("/log-read", topic) + "&from=" + std::to_string(from);
+    std::string target = Internal::makeTarget("/log-read", topic) + "&from=" + std::to_string(offsetOf(from));
     if (wait > Utils::Duration::zero())
         target += "&wait_ms=" + std::to_string(Utils::toMilliseconds(wait));
     return Internal::makeRequest(http::verb::get, store, target);
@@ -134,7 +135,7 @@
 {
     std::string target = Internal::makeTarget("/log-append", parameters.topic);
     if (parameters.expectedEnd)
-        target += "&as_of=" + std::to_string(*parameters.expectedEnd);
+        target += "&as_of=" + std::to_string(offsetOf(*parameters.expectedEnd));
     HttpRequest request = Internal::makeRequest(http::verb::post, store, target);
     for (const std::string& record : records) {
         std::string length(Internal::lengthBytes, '\0');
@@ -174,15 +175,17 @@
 
 bool isKeyed(std::string_view topic) { return topic.starts_with("keyed."); }
 
-leaf::result<StorePage> decodeReadResponse(std::string_view body, Utils::Offset from, bool keyed)
+leaf::result<StorePage> decodeReadResponse(
+    std::string_view body, Utils::Offset from, bool keyed, std::uint64_t era)
 {
     if (body.size() < 2 * Internal::offsetBytes)
         return Internal::unreadableRecords();
     StorePage page;
-    page.endOffset = Internal::loadBigEndian<Utils::Offset>(body);
-    page.firstRetainedOffset = Internal::loadBigEndian<Utils::Offset>(body.substr(Internal::offsetBytes));
+    page.endOffset = makePosition(era, Internal::loadBigEndian<Utils::Offset>(body));
+    page.firstRetainedOffset
+        = makePosition(era, Internal::loadBigEndian<Utils::Offset>(body.substr(Internal::offsetBytes)));
     body.remove_prefix(2 * Internal::offsetBytes);
-    for (Utils::Offset offset = from; !body.empty(); ++offset) {
+    for (Utils::Offset offset = makePosition(era, offsetOf(from)); !body.empty(); ++offset) {
         if (body.size() < Internal::lengthBytes)
             return Internal::unreadableRecords();
         const std::uint32_t length = Internal::loadLength(body);
@@ -197,29 +200,33 @@
     return page;
 }
 
-leaf::result<StorePage> decodeNewestRecordsResponse(std::string_view body)
+leaf::result<StorePage> decodeNewestRecordsResponse(std::string_view body, std::uint64_t era)
 {
     BOOST_LEAF_AUTO(object, Internal::parseObject(body));
     StorePage page;
     BOOST_LEAF_ASSIGN(page.endOffset, Internal::readUnsigned(object, "end"));
+    page.endOffset = makePosition(era, page.endOffset);
     BOOST_LEAF_ASSIGN(page.hasMore, Internal::readFlag(object, "more"));
     BOOST_LEAF_AUTO(items, Internal::readArray(object, "items"));
     for (const json::value& item : *items) {
         BOOST_LEAF_CHECK(Internal::decodeItem(item, page.records));
+        page.records.back().offset = makePosition(era, page.records.back().offset);
     }
     return page;
 }
 
-leaf::result<Utils::Offset> decodeAppendResponse(std::string_view body)
+leaf::result<Utils::Offset> decodeAppendResponse(std::string_view body, std::uint64_t era)
 {
     BOOST_LEAF_AUTO(object, Internal::parseObject(body));
-    return Internal::readUnsigned(object, "offset");
+    BOOST_LEAF_AUTO(offset, Internal::readUnsigned(object, "offset"));
+    return makePosition(era, offset);
 }
 
-leaf::result<Utils::Offset> decodeFirstRetainedOffset(std::string_view body)
+leaf::result<Utils::Offset> decodeFirstRetainedOffset(std::string_view body, std::uint64_t era)
 {
     BOOST_LEAF_AUTO(object, Internal::parseObject(body));
-    return Internal::readUnsigned(object, "first");
+    BOOST_LEAF_AUTO(first, Internal::readUnsigned(object, "first"));
+    return makePosition(era, first);
 }
 
 } // namespace Platform
--- a/src/libs/platform/storecalls.h
+++ b/src/libs/platform/storecalls.h
@@ -14,7 +14,8 @@
 #include <string_view>
 #include <vector>
 
-/// Builds requests for the platform's store and decodes its responses.
+/// Builds requests for the platform's store and decodes its responses. Offsets of records are positions, see
+/// storeposition.h.
 namespace Platform {
 
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
@@ -47,17 +48,20 @@
 bool isKeyed(std::string_view topic);
 
 /// Decodes the response to makeReadRequest(). Fails with a DecodeError.
-boost::leaf::result<StorePage> decodeReadResponse(std::string_view body, Utils::Offset from, bool keyed);
+/// \param from the position that was asked for.
+/// \param era the era of the response; 0 if it has none.
+boost::leaf::result<StorePage> decodeReadResponse(
+    std::string_view body, Utils::Offset from, bool keyed, std::uint64_t era = 0);
 
 /// Decodes the response to makeNewestRecordsRequest(). Fails with a DecodeError.
-boost::leaf::result<StorePage> decodeNewestRecordsResponse(std::string_view body);
+boost::leaf::result<StorePage> decodeNewestRecordsResponse(std::string_view body, std::uint64_t era = 0);
 
 /// Decodes the response to makeAppendRequest(): the offset of the first appended record. Fails with a
 /// DecodeError.
-boost::leaf::result<Utils::Offset> decodeAppendResponse(std::string_view body);
+boost::leaf::result<Utils::Offset> decodeAppendResponse(std::string_view body, std::uint64_t era = 0);
 
 /// Decodes the response to a read of expired records: the first offset that the store still retains. Fails
 /// with a DecodeError.
-boost::leaf::result<Utils::Offset> decodeFirstRetainedOffset(std::string_view body);
+boost::leaf::result<Utils::Offset> decodeFirstRetainedOffset(std::string_view body, std::uint64_t era = 0);
 
 } // namespace Platform
--- a/tests/auto/edge/tst_storefaults.cpp
+++ b/tests/auto/edge/tst_storefaults.cpp
@@ -133,3 +133,62 @@
     CHECK(runUntil(
         environment, [&upstream] { return !upstream.standIn.held.empty(); }, 8000ms));
 }
+
+namespace {
+
+bool isLeading(const Edge::Service& vm) { return vm.node.leader.leadership.term.has_value(); }
+
+bool isServing(TestEnvironment& environment, const Edge::Service& vm)
+{
+    CallerRequest request;
+    request.path = "/key/1";
+    request.key = 100;
+    return sendRequest(environment, vm, request).status == 200;
+}
+
+} // namespace
+
+TEST_CASE("Keys are served soon after the store has returned from an older copy", "[storefaults]")
+{
+    struct Row {
+        const char* name;
+        bool leaderTerminates;
+        std::chrono::milliseconds served;
+    };
+    const Row row = GENERATE(values<Row>({
+        { "the leader lives", false, 3000ms },
+        { "the leader terminates meanwhile", true, 15000ms },
+    }));
+    INFO(row.name);
+    TestEnvironment environment;
+    environment.store.era = 7;
+    TestUpstream& one = addUpstream(environment, "k-1", "keyed", true);
+    Edge::Service& first = startReadyVm(environment);
+    Edge::Service& second = startVm(environment);
+    REQUIRE(runUntil(environment, [&] { return isLeading(first) && second.node.relay.isSubscribed; }));
+    REQUIRE(runUntil(environment, [&] { return isServing(environment, second); }));
+    // Written after the copy was made: the keys move to two holders.
+    runFor(environment, 1500ms);
+    const TestUpstream& two = addUpstream(environment, "k-2", "keyed", true);
+    REQUIRE(runUntil(
+        environment, [&two] { return !two.standIn.held.empty(); }, 10000ms));
+    runFor(environment, 500ms);
+    const std::uint64_t highestToken
+        = std::max(one.standIn.held.front().token, two.standIn.held.front().token);
+    environment.store.faults.outage = true;
+    runFor(environment, 300ms);
+    if (row.leaderTerminates)
+        killVm(environment, 0);
+    environment.store.faults.outage = false;
+    REQUIRE(StandInStore::returnToCopy(environment.store, 3000ms) > 0);
+    publishConfiguration(environment, 2);
+    runFor(environment, row.served);
+    CHECK(second.node.clusterView.routeTable->configuration.version == 2);
+    for (int request = 0; request < 5; ++request) {
+        CHECK(isServing(environment, second));
+        runFor(environment, 300ms);
+    }
+    CHECK((isLeading(row.leaderTerminates ? second : first) || isLeading(second)));
+    CHECK(one.standIn.held.front().token > highestToken);
+    CHECK(second.node.storeEra.value_or(0) >= (row.leaderTerminates ? 8 : 7));
+}
--- a/tests/auto/granting/tst_leadership.cpp
+++ b/tests/auto/granting/tst_leadership.cpp
@@ -126,3 +126,45 @@
     recordLogRead(leadership, 5, otherLeader(), start + 100ms);
     CHECK(holdsLeaderLease(leadership, start + 100ms));
 }
+
+TEST_CASE(
+    "After the store has returned from a copy only the living leader leads again at once", "[leadership]")
+{
+    struct Row {
+        const char* name;
+        bool leads;
+        /// The newest record of the copy.
+        std::optional<LeaderRecord> last;
+        /// Another record was written before this VM's append.
+        bool contested;
+        Utils::Duration later;
+        bool due;
+    };
+    const Utils::Duration expiry = leaderLeaseDuration + leaderLeaseDuration / 50 + expiryMargin;
+    const LeaderRecord own { { "a" }, 1, { "10.0.0.1", 7000 }, 0 };
+    const LeaderRecord ownInEra { { "a" }, 1, { "10.0.0.1", 7000 }, 1 };
+    const Row row = GENERATE_COPY(values<Row>({
+        { "the leader, by its own record", true, own, false, 1ms, true },
+        { "the leader, by an older record of another", true, otherLeader(), false, 1ms, true },
+        { "the leader, after its lease", true, otherLeader(), false, leaderLeaseDuration, false },
+        { "the leader, after another has led in the new era", true, otherLeader(), true, 1ms, false },
+        { "a standby that led at the time of the copy", false, own, false, 1ms, false },
+        { "a standby, by a resignation in the copy", false, LeaderRecord {}, false, 1ms, false },
+        { "a standby, by a record of a former process", false,
+            LeaderRecord { { "a" }, 7, { "10.0.0.1", 7000 } }, false, 1ms, false },
+        { "a standby, after a lease", false, otherLeader(), false, expiry, true },
+        { "a standby, with its own record of the new era", false, ownInEra, false, 1ms, false },
+    }));
+    INFO(row.name);
+    Leadership leadership = row.leads ? makeLeader() : makeStandby();
+    if (!row.leads)
+        recordLogRead(leadership, 5, otherLeader(), start);
+    recordStoreReturn(leadership, 1, start);
+    CHECK_FALSE(holdsLeaderLease(leadership, start));
+    CHECK_FALSE(isAppendDue(leadership, 0, start + 1ms));
+    // Positions of the new era are higher, though the copy ends earlier.
+    recordLogRead(leadership, 103, row.last, start);
+    if (row.contested)
+        recordLogRead(leadership, 104, otherLeader(), start);
+    CHECK(isAppendDue(leadership, 0, start + row.later) == row.due);
+}
--- a/tests/soak/faultkind.h
+++ b/tests/soak/faultkind.h
@@ -18,6 +18,7 @@
     StoreAnswersLost,
     StoreCutFromVm,
     StoreSlow,
+    StoreReturned,
     UpstreamCrashed,
     UpstreamDrained,
     UpstreamSilenced,
@@ -27,7 +28,7 @@
     Poison,
 };
 
-inline constexpr std::array<Utils::EnumName<FaultKind>, 17> faultKindNames { {
+inline constexpr std::array<Utils::EnumName<FaultKind>, 18> faultKindNames { {
     { FaultKind::VmKilled, "vm_killed" },
     { FaultKind::LeaderKilled, "leader_killed" },
     { FaultKind::VmStopped, "vm_stopped" },
@@ -38,6 +39,7 @@
     { FaultKind::StoreAnswersLost, "store_answers_lost" },
     { FaultKind::StoreCutFromVm, "store_cut_from_vm" },
     { FaultKind::StoreSlow, "store_slow" },
+    { FaultKind::StoreReturned, "store_returned" },
     { FaultKind::UpstreamCrashed, "upstream_crashed" },
     { FaultKind::UpstreamDrained, "upstream_drained" },
     { FaultKind::UpstreamSilenced, "upstream_silenced" },
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -13,6 +13,8 @@
 
 /// Faults end this long before the traffic does, so that recovery can be seen.
 constexpr std::chrono::milliseconds calmAtEnd = 10s;
+/// How long an upstream that has drained is gone.
+constexpr std::chrono::milliseconds restartDelay = 1500ms;
 
 VmProcess& drawVm(World& world) { return *world.vms[drawNumber(world, 0, world.vms.size() - 1)]; }
 
@@ -75,10 +77,23 @@
     });
 }
 
+/// The store is away for a moment and comes back from a copy some seconds old.
+void returnStoreToCopy(World& world)
+{
+    constexpr std::chrono::milliseconds absence = 500ms;
+    const std::chrono::milliseconds age(drawNumber(world, 500, 6000));
+    world.store.faults.outage = true;
+    after(world, absence, [&world, age] {
+        world.store.faults.outage = false;
+        const std::size_t gone = StandInStore::returnToCopy(world.store, age);
+        std::cout << R"({"event":"store_returned","age_ms":)" << age.count() << R"(,"gone":)" << gone
+                  << "}\n";
+    });
+}
+
 void drainUpstream(World& world)
 {
     constexpr std::chrono::milliseconds drainTime = 3500ms;
-    constexpr std::chrono::milliseconds absence = 1500ms;
     UpstreamHost& upstream = drawUpstream(world);
     if (!upstream.up || upstream.draining)
         return;
@@ -88,7 +103,7 @@
         if (!upstream.up || !upstream.draining)
             return;
         StandInStore::putRecord(world.store, "keyed.servers", upstream.server.id, "");
-        crashAndRestart(world, upstream, absence);
+        crashAndRestart(world, upstream, restartDelay);
     });
 }
 
@@ -184,6 +199,9 @@
     case FaultKind::StoreSlow:
         slowStore(world, length);
         break;
+    case FaultKind::StoreReturned:
+        returnStoreToCopy(world);
+        break;
     case FaultKind::UpstreamCrashed: {
         UpstreamHost& upstream = drawUpstream(world);
         if (upstream.up)
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -193,6 +193,7 @@
 {
     StandInSupport::startServing(world.storeServer, addressOf(0, 0) + ":" + std::to_string(storePort),
         StandInStore::handlerOf(world.store));
+    world.store.era = 1;
     publishConfiguration(world);
     for (std::size_t number = 0; number < world.options.upstreams; ++number)
         addUpstream(world, number);
--- a/tests/standins/store/storedtopic.h
+++ b/tests/standins/store/storedtopic.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -10,6 +11,8 @@
 struct StoredTopic {
     /// All records ever; those before \c firstKept are gone for reads.
     std::vector<std::string> records;
+    /// When each record was written.
+    std::vector<std::chrono::steady_clock::time_point> times;
     std::uint64_t firstKept = 0;
 };
 
--- a/tests/standins/store/storeservice.cpp
+++ b/tests/standins/store/storeservice.cpp
@@ -47,6 +47,12 @@
     return reply;
 }
 
+void addRecord(StoredTopic& topic, std::string record)
+{
+    topic.records.push_back(std::move(record));
+    topic.times.push_back(std::chrono::steady_clock::now());
+}
+
 HttpReply readReply(const StoredTopic& topic, std::uint64_t from)
 {
     HttpReply reply;
@@ -96,7 +102,8 @@
 {
     StoredTopic& topic = store.topics[request.query.at("topic")];
     const std::uint64_t from = numberIn(request, "from", 0);
-    if (from < topic.firstKept) {
+    const bool isUnknown = store.era && from > topic.records.size();
+    if (from < topic.firstKept || isUnknown) {
         reply(jsonReply(410, { { "first", topic.firstKept } }));
         return;
     }
@@ -145,7 +152,7 @@
     while (body.size() >= lengthBytes) {
         const std::size_t length
             = boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(body.data()));
-        topic.records.emplace_back(body.substr(lengthBytes, length));
+        addRecord(topic, std::string(body.substr(lengthBytes, length)));
         body.remove_prefix(lengthBytes + length);
     }
     HttpReply answer = jsonReply(200, { { "offset", end }, { "end", topic.records.size() } });
@@ -157,11 +164,16 @@
     answerWaiting(store, name);
 }
 
-void handle(StoreService& store, const HttpRequest& request, const ReplyFunction& reply)
+void handle(StoreService& store, const HttpRequest& request, const ReplyFunction& plainReply)
 {
     ++store.calls[request.path];
     if (store.faults.silent)
         return;
+    const ReplyFunction reply = [&store, plainReply](HttpReply answer) {
+        if (store.era)
+            answer.headers["Store-Era"] = std::to_string(*store.era);
+        plainReply(std::move(answer));
+    };
     if (store.faults.outage)
         reply(jsonReply(503, {}));
     else if (request.path == "/log-read")
@@ -205,10 +217,36 @@
 void putRecord(
     StoreService& store, const std::string& topic, const std::string& key, const std::string& value)
 {
-    store.topics[topic].records.push_back(std::string(1, static_cast<char>(key.size())) + key + value);
+    addRecord(store.topics[topic], std::string(1, static_cast<char>(key.size())) + key + value);
     answerWaiting(store, topic);
 }
 
+std::size_t returnToCopy(StoreService& store, std::chrono::milliseconds age)
+{
+    const std::chrono::steady_clock::time_point copiedAt = std::chrono::steady_clock::now() - age;
+    std::size_t gone = 0;
+    store.era = store.era.value_or(0) + 1;
+    // Reads that wait are cut off with the store.
+    store.waiting.clear();
+    for (auto it = store.topics.begin(); it != store.topics.end(); ++it) {
+        StoredTopic& topic = it->second;
+        const std::size_t kept = static_cast<std::size_t>(
+            std::upper_bound(topic.times.begin(), topic.times.end(), copiedAt) - topic.times.begin());
+        std::vector<std::string> later(
+            topic.records.begin() + static_cast<std::ptrdiff_t>(kept), topic.records.end());
+        topic.records.resize(kept);
+        topic.times.resize(kept);
+        topic.firstKept = std::min<std::uint64_t>(topic.firstKept, kept);
+        if (it->first != "keyed.op" && it->first != "keyed.servers") {
+            gone += later.size();
+            continue;
+        }
+        for (std::string& record : later)
+            addRecord(topic, std::move(record));
+    }
+    return gone;
+}
+
 void compact(StoreService& store, const std::string& topic)
 {
     store.topics[topic].firstKept = store.topics[topic].records.size();
--- a/tests/standins/store/storeservice.h
+++ b/tests/standins/store/storeservice.h
@@ -9,7 +9,9 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 
 /// A stand-in for the users' store, in as much of its protocol as the product speaks.
@@ -23,6 +25,8 @@
 
     boost::asio::io_context& context;
     StoreFaults faults;
+    /// Sent with all answers if it is set.
+    std::optional<std::uint64_t> era;
     std::map<std::string, StoredTopic> topics;
     std::map<std::uint64_t, WaitingRead> waiting;
     std::uint64_t lastWaiting = 0;
@@ -39,6 +43,10 @@
 void putRecord(
     StoreService& store, const std::string& topic, const std::string& key, const std::string& value);
 
+/// Returns to a copy that is \a age old and begins the next era: later records are gone, and those of the
+/// operator and the servers are written again. Returns how many records of others are gone.
+std::size_t returnToCopy(StoreService& store, std::chrono::milliseconds age);
+
 /// Drops the history of \a topic for reads; the newest of each key stays.
 void compact(StoreService& store, const std::string& topic);
 
