Keep quarantined requests in the store

With all VMs gone nobody remembered what had been counted.

The leader writes each quarantined request to keyed.crocusferry.quarantine once, with its number of crashes, and reads the records once in a term; it shares them over the relay like other crash reports. One read a term, one write a quarantine; requests with fewer crashes are not written. The age counts by the time of day; a clock that was set back makes the quarantine longer.

--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -6,6 +6,7 @@
 #include <edge/keyplanning.h>
 #include <edge/leadershiplog.h>
 #include <edge/leaderelection.h>
+#include <edge/quarantinerecords.h>
 #include <edge/relay.h>
 #include <edge/storecalls.h>
 #include <edge/storeera.h>
@@ -44,6 +45,7 @@
     if (!wasLeader)
         return;
     logNotLeading(node.leader.leadership, reason);
+    resetQuarantineRecords(node);
     disconnectSubscribers(node);
     if (!node.relay.isSubscribed)
         resumeFollowing(node, node.topicFollowers.assignments);
@@ -128,6 +130,7 @@
         deferGrantsUnlessSettled(node, at);
     }
     leader.loggedTerm = leader.leadership.term;
+    syncQuarantineRecords(node, at);
     if (!leader.assignmentTopicEnd || leader.rereadNeeded) {
         if (!leader.readInProgress)
             readAssignments(node);
--- a/src/libs/edge/node.h
+++ b/src/libs/edge/node.h
@@ -7,6 +7,7 @@
 #include <edge/crashreporting.h>
 #include <edge/topicfollowers.h>
 #include <edge/leaderstate.h>
+#include <edge/quarantinestate.h>
 #include <edge/relaystate.h>
 #include <edge/traffic.h>
 #include <routing/vmsettings.h>
@@ -56,6 +57,7 @@
     Counters counters;
     boost::asio::steady_timer loadReportTimer;
     CrashReporting crashReporting;
+    QuarantineRecords quarantineRecords;
     /// A stop was requested: connections of callers are closed as their requests finish.
     bool stopping = false;
     /// The load balancer has removed this VM, so new connections are no longer accepted.
--- a/src/libs/edge/topics.h
+++ b/src/libs/edge/topics.h
@@ -9,5 +9,7 @@
 inline constexpr std::string_view leaderTopic = "crocusferry.leader";
 /// Key assignments, keyed by service.
 inline constexpr std::string_view assignmentTopic = "keyed.crocusferry";
+/// Quarantined requests, keyed by the fingerprint of their content.
+inline constexpr std::string_view quarantineTopic = "keyed.crocusferry.quarantine";
 
 } // namespace Edge
--- a/tests/auto/edge/tst_poisonrequests.cpp
+++ b/tests/auto/edge/tst_poisonrequests.cpp
@@ -98,3 +98,24 @@
     }
     CHECK(served == sent);
 }
+
+TEST_CASE("A request stays quarantined when all VMs have been restarted", "[poisonrequests]")
+{
+    TestEnvironment environment;
+    CrashingUpstreams crashing(environment);
+    addCrashingUpstreams(crashing, 6);
+    Edge::Service& former = startReadyVm(environment);
+    REQUIRE(runUntil(environment, [&former] { return isLeader(former); }));
+    for (int request = 0; request < 4; ++request)
+        sendRequest(environment, former, poisonRequest(true));
+    REQUIRE(crashing.crashTimes.size() == 3);
+    runFor(environment, 2500ms);
+    killVm(environment, 0);
+    Edge::Service& restarted = startVm(environment);
+    REQUIRE(runUntil(
+        environment, [&restarted] { return isLeader(restarted); }, 8000ms));
+    runFor(environment, 1000ms);
+    CHECK(sendRequest(environment, restarted, poisonRequest(true)).status == 503);
+    CHECK(crashing.crashTimes.size() == 3);
+    CHECK(sendRequest(environment, restarted, {}).status == 200);
+}
