Count upstreams that crash without closing their connections

An upstream that falls silent, or whose request was given up by its deadline or its caller, left no count, and the request was sent on without end.

A VM now remembers attempts that it gave up for 8 s. When the upstream's entry shows a later start, or disappears without having drained, those attempts and the ones still in flight count as crashed.

--- a/src/libs/edge/clusterviewupdates.cpp
+++ b/src/libs/edge/clusterviewupdates.cpp
@@ -1,4 +1,5 @@
 #include <edge/clusterviewupdates.h>
+#include <edge/crashreports.h>
 #include <edge/clock.h>
 #include <edge/exchanges.h>
 #include <edge/leaderelection.h>
@@ -126,6 +127,12 @@
         queueForRelay(node,
             { Relay::RelayTopic::Reports, id.value, std::nullopt,
                 std::max(offset, lastReadReportOffset(node)) });
+    const auto known = node.clusterView.directory.entries.find(id);
+    const bool wasDraining
+        = known != node.clusterView.directory.entries.end() && known->second.record.draining;
+    if (change == Routing::DirectoryChange::Restarted
+        || (change == Routing::DirectoryChange::Removed && !wasDraining))
+        recordUpstreamVanished(node, id);
     if (change == Routing::DirectoryChange::Restarted) {
         closeIdleUpstreamConnections(node, id);
         node.traffic.upstreamStates[id].load = {};
--- a/src/libs/edge/crashreports.cpp
+++ b/src/libs/edge/crashreports.cpp
@@ -32,6 +32,9 @@
 constexpr std::size_t maxReportsPerDatagram = 16;
 constexpr std::size_t maxDatagramTargets = 256;
 constexpr std::size_t maxQueuedReports = 1024;
+/// Upstreams that terminate silently are missing in the store a few heartbeats later, or are back by then.
+constexpr Utils::Duration unresolvedRetention = std::chrono::seconds(8);
+constexpr std::size_t maxUnresolvedAttempts = 512;
 /// Number of suspects whose crashes a VM sends when it subscribes or is subscribed to.
 constexpr std::size_t maxSharedSuspects = 512;
 /// Time between the first trials of two VMs after a quarantine; longer than it takes to share a crash.
@@ -71,6 +74,16 @@
     return attempt;
 }
 
+void recordObservedCrash(Node& node, const AttemptObservation& attempt, const Utils::UpstreamId& upstream,
+    const Utils::RequestId& request)
+{
+    Balancing::PoisonRequestTracker& tracker = node.traffic.poisonRequests;
+    if (!Balancing::recordCrash(tracker, attempt))
+        return;
+    logCrash(request, attempt.fingerprint, upstream, Balancing::countCrashes(tracker, attempt.fingerprint));
+    queueReport(node, Kind::Crash, attempt, false);
+}
+
 /// Links to the source and to subscribers that have been set up.
 std::vector<LinkPtr> establishedLinks(const Node& node)
 {
@@ -204,12 +217,44 @@
 
 void recordUpstreamCrash(Node& node, const Exchange& exchange)
 {
-    const Balancing::AttemptObservation attempt = Internal::observeLastAttempt(node, exchange);
-    if (!Balancing::recordCrash(node.traffic.poisonRequests, attempt))
-        return;
-    logCrash(exchange, exchange.lastUpstream,
-        Balancing::countCrashes(node.traffic.poisonRequests, exchange.fingerprint));
-    Internal::queueReport(node, Relay::CrashReport::Kind::Crash, attempt, false);
+    Internal::recordObservedCrash(node, Internal::observeLastAttempt(node, exchange), exchange.lastUpstream,
+        exchange.callerHeaders.requestId);
+}
+
+void recordAbandonedAttempt(Node& node, const Exchange& exchange)
+{
+    std::deque<UnresolvedAttempt>& attempts = node.traffic.unresolvedAttempts;
+    const Utils::Instant at = now();
+    while (!attempts.empty()
+        && (attempts.size() >= Internal::maxUnresolvedAttempts
+            || at - attempts.front().endedAt > Internal::unresolvedRetention))
+        attempts.pop_front();
+    attempts.push_back({ exchange.lastUpstream, exchange.fingerprint, exchange.attemptStartedAt, at });
+}
+
+void recordUpstreamVanished(Node& node, const Utils::UpstreamId& upstream)
+{
+    std::deque<UnresolvedAttempt>& attempts = node.traffic.unresolvedAttempts;
+    const Utils::Instant at = now();
+    for (const UnresolvedAttempt& attempt : attempts) {
+        if (attempt.upstream != upstream || at - attempt.endedAt > Internal::unresolvedRetention)
+            continue;
+        Balancing::AttemptObservation observation;
+        observation.id
+            = Utils::stableHash(std::to_string(++node.crashReporting.lastReportNumber), node.incarnation);
+        observation.fingerprint = attempt.fingerprint;
+        observation.upstream = Utils::stableHash(upstream.value);
+        observation.sentAt = attempt.sentAt;
+        observation.endedAt = attempt.endedAt;
+        Internal::recordObservedCrash(node, observation, upstream, {});
+    }
+    for (auto it = node.traffic.exchanges.begin(); it != node.traffic.exchanges.end(); ++it) {
+        const Exchange& exchange = *it->second;
+        if (exchange.connectionId != 0 && exchange.lastUpstream == upstream)
+            recordUpstreamCrash(node, exchange);
+    }
+    std::erase_if(
+        attempts, [&upstream](const UnresolvedAttempt& attempt) { return attempt.upstream == upstream; });
 }
 
 void recordUpstreamResponse(Node& node, const Exchange& exchange)
--- a/src/libs/edge/crashreports.h
+++ b/src/libs/edge/crashreports.h
@@ -13,6 +13,13 @@
 /// Records that the upstream of the last attempt of \a exchange crashed during the attempt.
 void recordUpstreamCrash(Node& node, const Exchange& exchange);
 
+/// Remembers that the last attempt of \a exchange was given up while it may have been running.
+void recordAbandonedAttempt(Node& node, const Exchange& exchange);
+
+/// Records that \a upstream has terminated without notice: it may have crashed during attempts that were
+/// given up.
+void recordUpstreamVanished(Node& node, const Utils::UpstreamId& upstream);
+
 /// Records that the upstream of the last attempt of \a exchange responded.
 void recordUpstreamResponse(Node& node, const Exchange& exchange);
 
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -290,6 +290,8 @@
 {
     if (outcome == AttemptOutcome::ConnectionLost)
         recordUpstreamCrash(node, exchange);
+    if (outcome == AttemptOutcome::TimedOut)
+        recordAbandonedAttempt(node, exchange);
     if (outcome == AttemptOutcome::Responded)
         recordUpstreamResponse(node, exchange);
 }
--- a/src/libs/edge/requestlog.cpp
+++ b/src/libs/edge/requestlog.cpp
@@ -49,11 +49,12 @@
             { "fingerprint", Internal::formatFingerprint(exchange.fingerprint) } });
 }
 
-void logCrash(const Exchange& exchange, const Utils::UpstreamId& upstream, std::size_t crashes)
+void logCrash(const Utils::RequestId& request, std::uint64_t fingerprint, const Utils::UpstreamId& upstream,
+    std::size_t crashes)
 {
     Logging::write(Logging::Level::Warning, "crash_counted",
-        { { "request", exchange.callerHeaders.requestId.value }, { "upstream", upstream.value },
-            { "crashes", crashes }, { "fingerprint", Internal::formatFingerprint(exchange.fingerprint) } });
+        { { "request", request.value }, { "upstream", upstream.value }, { "crashes", crashes },
+            { "fingerprint", Internal::formatFingerprint(fingerprint) } });
 }
 
 void logReportedCrash(std::uint64_t fingerprint, std::size_t crashes, Utils::Duration age)
--- a/src/libs/edge/requestlog.h
+++ b/src/libs/edge/requestlog.h
@@ -19,7 +19,8 @@
 
 /// Logs that \a upstream is considered to have crashed while it ran the request.
 /// \param crashes the number of crashes that are counted against requests with the same content.
-void logCrash(const Exchange& exchange, const Utils::UpstreamId& upstream, std::size_t crashes);
+void logCrash(const Utils::RequestId& request, std::uint64_t fingerprint, const Utils::UpstreamId& upstream,
+    std::size_t crashes);
 
 /// Logs a crash that another VM has reported.
 /// \param age time since the crash.
--- a/src/libs/edge/traffic.h
+++ b/src/libs/edge/traffic.h
@@ -7,10 +7,12 @@
 #include <edge/callerconnection.h>
 #include <edge/exchange.h>
 #include <edge/upstreamconnection.h>
+#include <edge/unresolvedattempt.h>
 #include <edge/upstreamstate.h>
 #include <routing/splitstate.h>
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -31,6 +33,8 @@
     std::unordered_map<std::string, Balancing::RouteStats> routeStats;
     Routing::SplitState splitState;
     Balancing::PoisonRequestTracker poisonRequests;
+    /// Attempts that were given up recently, the oldest first.
+    std::deque<UnresolvedAttempt> unresolvedAttempts;
     /// Total size of the request bodies in memory, in bytes.
     std::uint64_t bufferedBodyBytes = 0;
     /// Memory of responses that are being received or sent to callers, in bytes.
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -1,6 +1,7 @@
 #include <balancing/loadmodel.h>
 #include <edge/clock.h>
 #include <edge/addressreuse.h>
+#include <edge/crashreports.h>
 #include <edge/exchanges.h>
 #include <edge/responsememory.h>
 #include <edge/upstreams.h>
@@ -382,6 +383,8 @@
     const Internal::ConnectionPtr connection = found->second;
     connection->exchangeId = 0;
     exchange.mayHaveRun = exchange.mayHaveRun || connection->requestHandedOver;
+    if (connection->requestHandedOver)
+        recordAbandonedAttempt(node, exchange);
     Balancing::recordAbandonedRequest(node.traffic.upstreamStates[connection->upstream].load);
     Internal::closeConnection(node, *connection);
 }
--- a/tests/auto/edge/crashingupstreams.cpp
+++ b/tests/auto/edge/crashingupstreams.cpp
@@ -13,6 +13,16 @@
 {
     TestEnvironment& environment = crashing.environment;
     const auto timer = std::make_shared<boost::asio::steady_timer>(environment.context, crashing.downtime);
+    if (crashing.silent) {
+        timer->async_wait([timer, &environment, &upstream](const boost::system::error_code& error) {
+            if (error)
+                return;
+            ++upstream.startTimeMs;
+            upstream.sequenceNumber = 0;
+            publishUpstreamEntry(environment, upstream);
+        });
+        return;
+    }
     const std::string listen = StandInSupport::crash(upstream.httpServer);
     timer->async_wait([timer, &environment, &upstream, listen](const boost::system::error_code& error) {
         if (error)
--- a/tests/auto/edge/crashingupstreams.h
+++ b/tests/auto/edge/crashingupstreams.h
@@ -18,6 +18,8 @@
     TestEnvironment& environment;
     /// How long an upstream is gone.
     std::chrono::milliseconds downtime { 700 };
+    /// Whether connections of an upstream that terminates stay open without a response.
+    bool silent = false;
     std::vector<std::chrono::steady_clock::time_point> crashTimes;
 };
 
--- a/tests/auto/edge/tst_poisonrequests.cpp
+++ b/tests/auto/edge/tst_poisonrequests.cpp
@@ -119,3 +119,29 @@
     CHECK(crashing.crashTimes.size() == 3);
     CHECK(sendRequest(environment, restarted, {}).status == 200);
 }
+
+TEST_CASE("Upstreams that crash without closing their connections count as crashed", "[poisonrequests]")
+{
+    struct SilentRow {
+        const char* name;
+        unsigned deadlineMs;
+    };
+    const SilentRow row = GENERATE(values<SilentRow>({
+        { "the attempt times out", 2000 },
+        { "the caller's deadline passes", 300 },
+    }));
+    INFO(row.name);
+    TestEnvironment environment;
+    CrashingUpstreams crashing(environment);
+    crashing.silent = true;
+    addCrashingUpstreams(crashing, 6);
+    Edge::Service& vm = startReadyVm(environment);
+    CallerRequest request = poisonRequest(true);
+    request.deadlineMs = row.deadlineMs;
+    for (int round = 0; round < 8; ++round) {
+        sendRequest(environment, vm, request);
+        runFor(environment, 1200ms);
+    }
+    CHECK(crashing.crashTimes.size() == 3);
+    CHECK(sendRequest(environment, vm, {}).status == 200);
+}
