Let each VM begin a traffic split at another place

After few requests on each of many VMs the share was off by up to 0.4, where 0.2 are allowed.

The sequence begins at a phase derived from the VM's name.

--- a/src/libs/edge/service.cpp
+++ b/src/libs/edge/service.cpp
@@ -9,6 +9,7 @@
 #include <edge/service.h>
 #include <edge/topics.h>
 #include <logging/log.h>
+#include <utils/hash.h>
 
 #include <boost/asio/ip/address.hpp>
 
@@ -208,6 +209,7 @@
     Node& node = service.node;
     node.leader.leadership.self = { node.settings.name, node.incarnation,
         { node.settings.address, node.settings.firstInternalPort } };
+    node.traffic.splitState.phase = Utils::stableHash(node.settings.name.value);
     for (const int signal : { SIGTERM, SIGINT, SIGHUP })
         service.signals.add(signal);
     Internal::waitForSignal(service);
--- a/src/libs/routing/splitstate.cpp
+++ b/src/libs/routing/splitstate.cpp
@@ -5,13 +5,13 @@
 
 namespace Routing {
 
-const RouteDestination& chooseDestination(SplitState& state, const Route& route)
+namespace Internal {
+
+/// Enough different phases for the shares of all VMs together to be exact within a percent.
+constexpr std::uint64_t maxPhases = 1000;
+
+std::size_t advance(std::vector<std::int64_t>& credits, const Route& route)
 {
-    if (route.destinations.size() == 1)
-        return route.destinations.front();
-    std::vector<std::int64_t>& credits = state.credits[route.name];
-    if (credits.size() != route.destinations.size())
-        credits.assign(route.destinations.size(), 0);
     std::int64_t total = 0;
     for (std::size_t index = 0; index < credits.size(); ++index) {
         const std::int64_t weight = route.destinations[index].weight;
@@ -22,7 +22,22 @@
     const std::size_t chosen
         = static_cast<std::size_t>(std::max_element(credits.begin(), credits.end()) - credits.begin());
     credits[chosen] -= total;
-    return route.destinations[chosen];
+    return chosen;
+}
+
+} // namespace Internal
+
+const RouteDestination& chooseDestination(SplitState& state, const Route& route)
+{
+    if (route.destinations.size() == 1)
+        return route.destinations.front();
+    std::vector<std::int64_t>& credits = state.credits[route.name];
+    if (credits.size() != route.destinations.size()) {
+        credits.assign(route.destinations.size(), 0);
+        for (std::uint64_t step = 0; step < state.phase % Internal::maxPhases; ++step)
+            Internal::advance(credits, route);
+    }
+    return route.destinations[Internal::advance(credits, route)];
 }
 
 } // namespace Routing
--- a/src/libs/routing/splitstate.h
+++ b/src/libs/routing/splitstate.h
@@ -11,6 +11,9 @@
 
 /// State of the weighted round robin over the destinations of each route on this VM.
 struct SplitState {
+    /// Where in the sequence of destinations this VM begins; differs between VMs, as otherwise the first
+    /// request of each route goes to the same destination on all of them.
+    std::uint64_t phase = 0;
     /// Maps the name of a route to the current credit of each destination.
     std::unordered_map<std::string, std::vector<std::int64_t>> credits;
 };
--- a/tests/auto/routing/tst_splitstate.cpp
+++ b/tests/auto/routing/tst_splitstate.cpp
@@ -1,4 +1,5 @@
 #include <routing/splitstate.h>
+#include <utils/hash.h>
 
 #include <catch2/catch.hpp>
 
@@ -52,3 +53,37 @@
     route.destinations.push_back({ { "c" }, 98 });
     CHECK(chooseDestination(state, route).service.value == "c");
 }
+
+TEST_CASE(
+    "The shares of all VMs together are close to the weights after few requests on each", "[splitstate]")
+{
+    struct FleetRow {
+        const char* name;
+        unsigned weight;
+        unsigned otherWeight;
+        unsigned requestsPerVm;
+    };
+    const FleetRow row = GENERATE(values<FleetRow>({
+        { "three to two, one request", 3, 2, 1 },
+        { "three to one, two requests", 75, 25, 2 },
+        { "nine to one, one request", 90, 10, 1 },
+        { "two to three, three requests", 40, 60, 3 },
+    }));
+    INFO(row.name);
+    constexpr unsigned vms = 300;
+    /// The platform's bound on the difference between a share and its weight.
+    constexpr double maxShareError = 0.2;
+    Route route;
+    route.name = "route";
+    route.destinations = { { { "a" }, row.weight }, { { "b" }, row.otherWeight } };
+    double first = 0;
+    for (unsigned vm = 0; vm < vms; ++vm) {
+        SplitState state;
+        state.phase = Utils::stableHash("vm-" + std::to_string(vm));
+        for (unsigned request = 0; request < row.requestsPerVm; ++request)
+            first += chooseDestination(state, route).service.value == "a" ? 1 : 0;
+    }
+    const double share = first / (vms * row.requestsPerVm);
+    const double weight = static_cast<double>(row.weight) / (row.weight + row.otherWeight);
+    CHECK(std::abs(share - weight) <= maxShareError);
+}
