--- a/src/libs/edge/quarantinerecords.cpp
+++ b/src/libs/edge/quarantinerecords.cpp
@@ -2,6 +2,7 @@
 #include <edge/clock.h>
 #include <edge/crashreports.h>
 #include <edge/quarantinerecords.h>
+#include <edge/requestlog.h>
 #include <edge/storecalls.h>
 #include <edge/storeera.h>
 #include <edge/topics.h>
@@ -13,10 +14,8 @@
 #include <boost/leaf.hpp>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <chrono>
-#include <cstdio>
 
 namespace Edge {
 
@@ -42,16 +41,9 @@
         .count();
 }
 
-std::string recordKey(std::uint64_t fingerprint)
-{
-    std::array<char, 17> text {};
-    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(fingerprint));
-    return text.data();
-}
-
 std::string encodeRecord(const QuarantineRecord& record)
 {
-    return Platform::encodeKeyedRecord(recordKey(record.fingerprint),
+    return Platform::encodeKeyedRecord(formatFingerprint(record.fingerprint),
         json::serialize(
             json::object { { "crashes", record.crashes }, { "last_crash_ms", record.lastCrashMs } }));
 }
@@ -100,7 +92,7 @@
     if (!isKnown && !isExpired)
         handleCrashReports(node, frame, false);
     Logging::write(Logging::Level::Info, "quarantine_read",
-        { { "fingerprint", recordKey(record.fingerprint) }, { "crashes", record.crashes },
+        { { "fingerprint", formatFingerprint(record.fingerprint) }, { "crashes", record.crashes },
             { "age_ms", ageMs }, { "known", isKnown } });
     node.quarantineRecords.written[record.fingerprint] = record.crashes;
 }
--- a/src/libs/edge/requestlog.cpp
+++ b/src/libs/edge/requestlog.cpp
@@ -13,7 +13,8 @@
     return Utils::toMilliseconds(now - exchange.startedAt);
 }
 
-/// The fingerprint as text: JSON readers lose digits of large numbers.
+} // namespace Internal
+
 std::string formatFingerprint(std::uint64_t fingerprint)
 {
     std::array<char, 17> text {};
@@ -21,8 +22,6 @@
     return text.data();
 }
 
-} // namespace Internal
-
 void logRequestSent(
     const Node& node, const Exchange& exchange, const Utils::UpstreamId& upstream, Utils::Duration expected)
 {
@@ -46,7 +45,7 @@
             { "attempt", exchange.attemptCount },
             { "end", Utils::enumName(Balancing::attemptOutcomeNames, outcome) },
             { "next", Utils::enumName(Balancing::nextStepNames, step) },
-            { "fingerprint", Internal::formatFingerprint(exchange.fingerprint) } });
+            { "fingerprint", formatFingerprint(exchange.fingerprint) } });
 }
 
 void logCrash(const Utils::RequestId& request, std::uint64_t fingerprint, const Utils::UpstreamId& upstream,
@@ -54,13 +53,13 @@
 {
     Logging::write(Logging::Level::Warning, "crash_counted",
         { { "request", request.value }, { "upstream", upstream.value }, { "crashes", crashes },
-            { "fingerprint", Internal::formatFingerprint(fingerprint) } });
+            { "fingerprint", formatFingerprint(fingerprint) } });
 }
 
 void logReportedCrash(std::uint64_t fingerprint, std::size_t crashes, Utils::Duration age)
 {
     Logging::write(Logging::Level::Info, "crash_learned",
-        { { "fingerprint", Internal::formatFingerprint(fingerprint) }, { "crashes", crashes },
+        { { "fingerprint", formatFingerprint(fingerprint) }, { "crashes", crashes },
             { "age_ms", Utils::toMilliseconds(age) } });
 }
 
@@ -81,7 +80,7 @@
             { "reason", Utils::enumName(localResponseReasonNames, response.reason) },
             { "status", statusFor(response) }, { "may_have_run", response.mayHaveRun },
             { "attempts", exchange.attemptCount }, { "upstream", exchange.lastUpstream.value },
-            { "fingerprint", Internal::formatFingerprint(exchange.fingerprint) },
+            { "fingerprint", formatFingerprint(exchange.fingerprint) },
             { "retry_after_ms", Utils::toMilliseconds(response.retryAfter) },
             { "elapsed_ms", Internal::elapsedMs(exchange, now) },
             { "config", exchange.routeTable ? exchange.routeTable->configuration.version : 0 } });
@@ -92,7 +91,7 @@
     Logging::write(Logging::Level::Info, "caller_left",
         { { "request", exchange.callerHeaders.requestId.value }, { "attempts", exchange.attemptCount },
             { "upstream", exchange.lastUpstream.value },
-            { "fingerprint", Internal::formatFingerprint(exchange.fingerprint) },
+            { "fingerprint", formatFingerprint(exchange.fingerprint) },
             { "elapsed_ms", Internal::elapsedMs(exchange, now) } });
 }
 
--- a/src/libs/edge/requestlog.h
+++ b/src/libs/edge/requestlog.h
@@ -8,6 +8,9 @@
 /// Log lines that trace a request by its id.
 namespace Edge {
 
+/// Returns the fingerprint of a request's content as text; JSON readers lose digits of large numbers.
+std::string formatFingerprint(std::uint64_t fingerprint);
+
 /// Logs that the request is sent to \a upstream.
 /// \param expected the expected latency.
 void logRequestSent(
--- a/tests/auto/platform/tst_storecalls.cpp
+++ b/tests/auto/platform/tst_storecalls.cpp
@@ -1,6 +1,8 @@
 #include "decodeoutcome.h"
 
+#include <platform/headers.h>
 #include <platform/storecalls.h>
+#include <platform/storeposition.h>
 
 #include <catch2/catch.hpp>
 
@@ -120,3 +122,39 @@
     }));
     CHECK(storeOutcomeForStatus(row.status) == row.outcome);
 }
+
+TEST_CASE("Positions rise over the eras of the store, and requests carry plain offsets", "[storecalls]")
+{
+    const Utils::Offset former = makePosition(3, 840);
+    const Utils::Offset later = makePosition(4, 7);
+    CHECK(former < later);
+    CHECK(eraOf(later) == 4);
+    CHECK(offsetOf(later) == 7);
+    CHECK(makePosition(0, 840) == 840);
+    CHECK(makeReadRequest(store, "t", later, 0s).target() == "/log-read?topic=t&part=0&from=7");
+    CHECK(
+        makeAppendRequest(store, { "t", later }, { "ab" }).target() == "/log-append?topic=t&part=0&as_of=7");
+    const StorePage page
+        = decodeReadResponse(offsetBytes(9) + offsetBytes(3) + framed("ab") + framed("c"), later, false, 4)
+              .value();
+    CHECK(page.endOffset == makePosition(4, 9));
+    CHECK(page.firstRetainedOffset == makePosition(4, 3));
+    REQUIRE(page.records.size() == 2);
+    CHECK(page.records.back().offset == makePosition(4, 8));
+    CHECK(decodeAppendResponse(R"({"offset":5,"end":6})", 4).value() == makePosition(4, 5));
+    CHECK(decodeFirstRetainedOffset(R"({"first":5})", 4).value() == makePosition(4, 5));
+}
+
+TEST_CASE("The era of the store is read, a malformed one is none", "[storecalls]")
+{
+    struct Row {
+        const char* text;
+        std::optional<std::uint64_t> era;
+    };
+    const Row row = GENERATE(values<Row>({ { nullptr, std::nullopt }, { "7", 7 }, { "0", 0 },
+        { "", std::nullopt }, { "-1", std::nullopt }, { "7x", std::nullopt } }));
+    HttpFields fields;
+    if (row.text)
+        fields.set("Store-Era", row.text);
+    CHECK(parseStoreEra(fields) == row.era);
+}
