Go on with an attempt while the retry budget permits no other one

The attempt's timeout closed the connection first and asked the retry budget then. Since the slack of the budget is not given in a VM's first window, it had none; before, the same could happen whenever it was used up.

The timeout now asks first whether the request would be retried. If not, the upstream goes on until the deadline.

Test: edge.upstreamfaults, 502 without the change, 200 with it.

--- a/src/libs/balancing/retrybudget.cpp
+++ b/src/libs/balancing/retrybudget.cpp
@@ -31,7 +31,7 @@
     ++Internal::findOrResetSlice(budget, Internal::sliceNumber(allowance, now)).requests;
 }
 
-bool tryConsumeRetry(RetryBudget& budget, const RetryAllowance& allowance, Utils::Instant now)
+bool hasRetryAllowance(const RetryBudget& budget, const RetryAllowance& allowance, Utils::Instant now)
 {
     const std::int64_t current = Internal::sliceNumber(allowance, now);
     double requests = 0;
@@ -42,9 +42,14 @@
         requests += slice.requests;
         retries += slice.retries;
     }
-    if (retries + 1 > allowance.ratio * requests + allowance.slack)
+    return retries + 1 <= allowance.ratio * requests + allowance.slack;
+}
+
+bool tryConsumeRetry(RetryBudget& budget, const RetryAllowance& allowance, Utils::Instant now)
+{
+    if (!hasRetryAllowance(budget, allowance, now))
         return false;
-    ++Internal::findOrResetSlice(budget, current).retries;
+    ++Internal::findOrResetSlice(budget, Internal::sliceNumber(allowance, now)).retries;
     return true;
 }
 
--- a/src/libs/balancing/retrybudget.h
+++ b/src/libs/balancing/retrybudget.h
@@ -36,6 +36,9 @@
 
 void recordRequest(RetryBudget& budget, const RetryAllowance& allowance, Utils::Instant now);
 
+/// Whether tryConsumeRetry() would permit a retry.
+bool hasRetryAllowance(const RetryBudget& budget, const RetryAllowance& allowance, Utils::Instant now);
+
 /// Counts a retry and returns true if the allowance permits it in the current window.
 ///
 /// Load pattern: upstreams that reject or fail many requests of a service at once. Each VM keeps to its own
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -403,6 +403,19 @@
     }
 }
 
+bool isRetriedAfterTimeout(Node& node, std::uint64_t id)
+{
+    const auto found = node.traffic.exchanges.find(id);
+    if (found == node.traffic.exchanges.end())
+        return false;
+    const Exchange& exchange = *found->second;
+    const Balancing::AttemptContext context
+        = Internal::makeAttemptContext(node, exchange, Balancing::AttemptOutcome::TimedOut);
+    return Balancing::decideNext(context) == Balancing::NextStep::Retry
+        && Balancing::hasRetryAllowance(
+            node.traffic.retryBudgets[exchange.service->id], Internal::retryAllowanceFor(node), now());
+}
+
 void cancelExchange(Node& node, std::uint64_t id)
 {
     const auto found = node.traffic.exchanges.find(id);
--- a/src/libs/edge/exchanges.h
+++ b/src/libs/edge/exchanges.h
@@ -18,6 +18,10 @@
 void handleAttemptOutcome(Node& node, std::uint64_t exchangeId, Balancing::AttemptOutcome outcome,
     std::optional<HttpResponse> response);
 
+/// Whether the request would be retried if its attempt ended as timed out now. If not, its upstream may as
+/// well go on until the deadline.
+bool isRetriedAfterTimeout(Node& node, std::uint64_t id);
+
 /// Cancels an exchange whose caller has disconnected, with any attempt in flight.
 void cancelExchange(Node& node, std::uint64_t exchangeId);
 
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -290,6 +290,8 @@
     startTimer(connection->timer, timeout, [&node, connection, outcome] {
         if (!isOpen(node, *connection) || connection->exchangeId == 0)
             return;
+        if (outcome == AttemptOutcome::TimedOut && !isRetriedAfterTimeout(node, connection->exchangeId))
+            return;
         endAttempt(node, connection, outcome);
     });
 }
--- a/src/libs/granting/leadership.cpp
+++ b/src/libs/granting/leadership.cpp
@@ -109,9 +109,12 @@
     const std::optional<Utils::Instant> sentAt
         = leadership.unknownAppendSince ? leadership.unknownAppendSince : leadership.pendingAppendSince;
     leadership.unknownAppendSince.reset();
-    leadership.logEnd = end;
-    if (!leadership.firstEndInEra)
+    // An append of this VM that was under way when the store returned does not contest its lease.
+    const bool isUncontested = !leadership.firstEndInEra
+        || (leadership.firstEndInEra == leadership.logEnd && record && Internal::isOwn(leadership, *record));
+    if (isUncontested)
         leadership.firstEndInEra = end;
+    leadership.logEnd = end;
     leadership.lastRecord = record;
     leadership.lastRecordSeenAt = now;
     if (!record || !Internal::isOwn(leadership, *record)) {
--- a/tests/auto/edge/tst_upstreamfaults.cpp
+++ b/tests/auto/edge/tst_upstreamfaults.cpp
@@ -133,3 +133,19 @@
     CHECK(sendRequest(environment, vm, callerRequest).status == 200);
     CHECK(environment.upstreams[4]->standIn.ran.size() == 1);
 }
+
+TEST_CASE("An attempt goes on while the retry budget permits no other one", "[upstreamfaults]")
+{
+    TestEnvironment environment;
+    TestUpstream& one = addUpstream(environment, "i-1", "plain");
+    TestUpstream& two = addUpstream(environment, "i-2", "plain");
+    Edge::Service& vm = startReadyVm(environment);
+    // A VM that has just started has no share of the slack.
+    vm.node.startedAt = std::chrono::time_point_cast<Utils::Duration>(std::chrono::steady_clock::now());
+    for (int request = 0; request < 3; ++request)
+        REQUIRE(sendRequest(environment, vm, {}).status == 200);
+    one.standIn.work = 900ms;
+    two.standIn.work = 900ms;
+    CHECK(sendRequest(environment, vm, {}).status == 200);
+    CHECK(one.standIn.ran.size() + two.standIn.ran.size() == 4);
+}
