Limit crash reports, so that failures of many links do not fill the network

Cause: when many connections are lost at once, each VM reported every one: over its link to the leader, which returned it to 70 VMs, each of which sent it back; and in datagrams to all members, also the reports of others. That filled the links between regions, which lost more connections.

A VM now reports first crashes of requests at 1 a second, 5 at once; a second crash of the same content is always reported.

No test of ours replays this load yet: the soak has too few VMs and no limit on its links. That is open.

--- a/src/libs/edge/crashreporting.h
+++ b/src/libs/edge/crashreporting.h
@@ -27,6 +27,9 @@
     /// Reports that may not have reached the other VMs yet, the oldest first.
     std::deque<QueuedCrashReport> queue;
     std::uint64_t lastReportNumber = 0;
+    /// Number of first crashes that may be reported now, as of tokensAt.
+    double tokens = 0;
+    Utils::Instant tokensAt {};
 };
 
 } // namespace Edge
--- a/src/libs/edge/crashreports.cpp
+++ b/src/libs/edge/crashreports.cpp
@@ -30,6 +30,9 @@
 constexpr unsigned datagramRepeats = 3;
 /// Keeps a datagram below the smallest usual MTU.
 constexpr std::size_t maxReportsPerDatagram = 16;
+/// First crashes of requests that a VM reports; later ones of the same request are always reported.
+constexpr double reportsPerSecond = 1;
+constexpr double maxReportBurst = 5;
 constexpr std::size_t maxDatagramTargets = 256;
 constexpr std::size_t maxQueuedReports = 1024;
 /// Upstreams that terminate silently are missing in the store a few heartbeats later, or are back by then.
@@ -42,14 +45,14 @@
 /// Number of VMs that take turns with trials until the leader has reported the number.
 constexpr std::uint32_t assumedVmCount = 32;
 
-void queueReport(Node& node, Kind kind, const AttemptObservation& attempt, bool inDatagram)
+void queueReport(Node& node, Kind kind, const AttemptObservation& attempt, bool isOwn)
 {
     std::deque<QueuedCrashReport>& queue = node.crashReporting.queue;
     if (queue.size() >= maxQueuedReports) {
         Logging::write(Logging::Level::Warning, "crash_report_dropped", { { "queued", queue.size() } });
         queue.pop_front();
     }
-    queue.push_back({ kind, attempt, now(), false, inDatagram, inDatagram ? 0 : datagramRepeats });
+    queue.push_back({ kind, attempt, now(), false, isOwn, isOwn ? datagramRepeats : 0 });
 }
 
 Relay::CrashReport toReport(Kind kind, const AttemptObservation& attempt, Utils::Instant at)
@@ -74,6 +77,22 @@
     return attempt;
 }
 
+/// Whether one more first crash of a request may be reported now.
+///
+/// Load pattern: many upstreams or links fail at once, and each VM loses hundreds of connections with other
+/// requests. Reporting all would fill the links between regions.
+bool tryConsumeReport(Node& node, Utils::Instant at)
+{
+    CrashReporting& reporting = node.crashReporting;
+    const double earned = std::chrono::duration<double>(at - reporting.tokensAt).count() * reportsPerSecond;
+    reporting.tokens = std::min(reporting.tokens + std::max(earned, 0.0), maxReportBurst);
+    reporting.tokensAt = std::max(reporting.tokensAt, at);
+    if (reporting.tokens < 1)
+        return false;
+    reporting.tokens -= 1;
+    return true;
+}
+
 void recordObservedCrash(Node& node, const AttemptObservation& attempt, const Utils::UpstreamId& upstream,
     const Utils::RequestId& request)
 {
@@ -81,7 +100,9 @@
     if (!Balancing::recordCrash(tracker, attempt))
         return;
     logCrash(request, attempt.fingerprint, upstream, Balancing::countCrashes(tracker, attempt.fingerprint));
-    queueReport(node, Kind::Crash, attempt, false);
+    const std::size_t crashes = Balancing::countCrashes(tracker, attempt.fingerprint);
+    if (crashes > 1 || tryConsumeReport(node, attempt.endedAt))
+        queueReport(node, Kind::Crash, attempt, true);
 }
 
 /// Links to the source and to subscribers that have been set up.
@@ -263,7 +284,7 @@
         return;
     const Balancing::AttemptObservation attempt = Internal::observeLastAttempt(node, exchange);
     if (Balancing::recordResponse(node.traffic.poisonRequests, attempt))
-        Internal::queueReport(node, Relay::CrashReport::Kind::Response, attempt, false);
+        Internal::queueReport(node, Relay::CrashReport::Kind::Response, attempt, true);
 }
 
 std::optional<Utils::Duration> quarantineLeft(const Node& node, std::uint64_t fingerprint)
@@ -279,8 +300,11 @@
     const Utils::Instant at = now();
     for (const Relay::CrashReport& report : frame.reports) {
         const Balancing::AttemptObservation attempt = Internal::toObservation(report, at);
-        if (Internal::applyReport(node, report.kind, attempt, report.endedAge))
-            Internal::queueReport(node, report.kind, attempt, inDatagram);
+        const bool isNew = Internal::applyReport(node, report.kind, attempt, report.endedAge);
+        // A VM without subscribers would only return the report to its source.
+        const bool isPassedOn = inDatagram || !node.relay.subscribers.empty();
+        if (isNew && isPassedOn)
+            Internal::queueReport(node, report.kind, attempt, false);
     }
 }
 
@@ -301,7 +325,7 @@
 void resendCrashReports(Node& node)
 {
     for (QueuedCrashReport& queued : node.crashReporting.queue)
-        queued.datagramsLeft = queued.cameInDatagram ? 0 : Internal::datagramRepeats;
+        queued.datagramsLeft = queued.isOwn ? Internal::datagramRepeats : 0;
 }
 
 } // namespace Edge
--- a/src/libs/edge/queuedcrashreport.h
+++ b/src/libs/edge/queuedcrashreport.h
@@ -11,8 +11,8 @@
     Balancing::AttemptObservation attempt;
     Utils::Instant queuedAt {};
     bool sentOverLinks = false;
-    /// Its sender sends it to all VMs itself.
-    bool cameInDatagram = false;
+    /// This VM observed it; reports of others are only passed on over links.
+    bool isOwn = false;
     /// How many more times it is sent in datagrams while this VM has no relay source.
     unsigned datagramsLeft = 0;
 };
