--- a/src/libs/edge/assignmentrecords.cpp
+++ b/src/libs/edge/assignmentrecords.cpp
@@ -1,6 +1,7 @@
 #include <edge/assignmentrecords.h>
 #include <edge/clusterviewupdates.h>
 #include <edge/clock.h>
+#include <edge/leadershiplog.h>
 #include <edge/topicfollowing.h>
 #include <edge/relay.h>
 #include <edge/storecalls.h>
@@ -81,7 +82,8 @@
     const Routing::UpstreamDirectory& directory = node.clusterView.directory;
     for (auto it = directory.entries.begin(); it != directory.entries.end(); ++it) {
         if (it->second.isTerminated)
-            Granting::recordTermination(granter, it->first);
+            logEndedHolds(
+                granter.assignment.service, Granting::recordTermination(granter, it->first), "terminated");
     }
 }
 
--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -218,13 +218,13 @@
 void recordUpstreamTerminated(Node& node, const Utils::UpstreamId& upstream)
 {
     for (auto it = node.leader.granters.begin(); it != node.leader.granters.end(); ++it)
-        Granting::recordTermination(it->second, upstream);
+        logEndedHolds(it->first, Granting::recordTermination(it->second, upstream), "terminated");
 }
 
 void recordUpstreamRestarted(Node& node, const Utils::UpstreamId& upstream)
 {
     for (auto it = node.leader.granters.begin(); it != node.leader.granters.end(); ++it)
-        Granting::recordRestart(it->second, upstream);
+        logEndedHolds(it->first, Granting::recordRestart(it->second, upstream), "restarted");
 }
 
 void applyLoadReport(Node& node, const Granting::LoadReport& report)
--- a/src/libs/edge/leadershiplog.cpp
+++ b/src/libs/edge/leadershiplog.cpp
@@ -1,6 +1,9 @@
+#include <edge/clock.h>
 #include <edge/leadershiplog.h>
 #include <logging/log.h>
 
+#include <algorithm>
+
 namespace Edge {
 
 void logLeading(const Granting::Leadership& leadership)
@@ -25,6 +28,22 @@
             { "answer", Utils::enumName(Granting::grantOutcomeNames, outcome) } });
 }
 
+void logEndedHolds(
+    const Utils::ServiceId& service, const std::vector<Granting::PossibleHolder>& holds, const char* reason)
+{
+    const Utils::Instant at = now();
+    for (const Granting::PossibleHolder& hold : holds) {
+        const Utils::Duration left = std::max(hold.leaseExpiry, hold.pendingLeaseExpiry) - at;
+        if (left <= Utils::Duration::zero())
+            continue;
+        Logging::write(Logging::Level::Info, "hold_ended",
+            { { "service", service.value }, { "upstream", hold.upstream.value },
+                { "first", hold.span.first }, { "last", hold.span.last }, { "why", reason },
+                { "left_ms", Utils::toMilliseconds(left) },
+                { "in_flight", hold.pendingLeaseExpiry != Utils::Instant {} } });
+    }
+}
+
 void logPlan(const Granting::KeyAssignment& previous, const Granting::KeyAssignment& next)
 {
     std::uint64_t unconfirmedKeys = 0;
--- a/src/libs/granting/granter.cpp
+++ b/src/libs/granting/granter.cpp
@@ -61,6 +61,17 @@
     granter.possibleHolders = std::move(remaining);
 }
 
+/// Records that \a upstream holds no keys, and returns the holds that it had.
+std::vector<PossibleHolder> removePossibleHolds(Granter& granter, const Utils::UpstreamId& upstream)
+{
+    const auto firstRemoved = std::stable_partition(granter.possibleHolders.begin(),
+        granter.possibleHolders.end(),
+        [&upstream](const PossibleHolder& holder) { return holder.upstream != upstream; });
+    std::vector<PossibleHolder> removed(firstRemoved, granter.possibleHolders.end());
+    granter.possibleHolders.erase(firstRemoved, granter.possibleHolders.end());
+    return removed;
+}
+
 /// Returns an upstream other than the holder of \a segment that may hold keys of it, or null.
 const PossibleHolder* findOtherPossibleHolder(const Granter& granter, const Segment& segment)
 {
@@ -328,12 +339,11 @@
     return segment && Internal::applyGrantOutcome(granter, *segment, action, outcome);
 }
 
-void recordRestart(Granter& granter, const Utils::UpstreamId& upstream)
+std::vector<PossibleHolder> recordRestart(Granter& granter, const Utils::UpstreamId& upstream)
 {
     granter.unresponsiveSince.erase(upstream);
     granter.terminatedUpstreams.erase(upstream);
-    std::erase_if(
-        granter.possibleHolders, [&](const PossibleHolder& holder) { return holder.upstream == upstream; });
+    std::vector<PossibleHolder> ended = Internal::removePossibleHolds(granter, upstream);
     for (Segment& segment : granter.assignment.segments) {
         if (segment.holder != upstream)
             continue;
@@ -342,12 +352,14 @@
         segment.token = 0;
         granter.hasUnwrittenChanges = true;
     }
+    return ended;
 }
 
-void recordTermination(Granter& granter, const Utils::UpstreamId& upstream)
+std::vector<PossibleHolder> recordTermination(Granter& granter, const Utils::UpstreamId& upstream)
 {
-    recordRestart(granter, upstream);
+    std::vector<PossibleHolder> ended = recordRestart(granter, upstream);
     granter.terminatedUpstreams.insert(upstream);
+    return ended;
 }
 
 std::set<Utils::UpstreamId> findUnresponsiveUpstreams(const Granter& granter, Utils::Instant now)
--- a/src/libs/granting/granter.h
+++ b/src/libs/granting/granter.h
@@ -60,12 +60,12 @@
 bool recordGrantOutcome(Granter& granter, const GrantAction& action, GrantOutcome outcome,
     const std::string& handover, Utils::Instant now);
 
-/// Records that the process of \a upstream has restarted: it holds no keys.
-void recordRestart(Granter& granter, const Utils::UpstreamId& upstream);
+/// Records that the process of \a upstream has restarted: it holds no keys. Returns the holds that end with it.
+std::vector<PossibleHolder> recordRestart(Granter& granter, const Utils::UpstreamId& upstream);
 
 /// Records that the process of \a upstream has certainly terminated: it holds no keys, and gets no grants
-/// until its keys have been assigned to others.
-void recordTermination(Granter& granter, const Utils::UpstreamId& upstream);
+/// until its keys have been assigned to others. Returns the holds that end with it.
+std::vector<PossibleHolder> recordTermination(Granter& granter, const Utils::UpstreamId& upstream);
 
 /// Returns the upstreams that have been unresponsive for so long that their keys should go to others.
 ///
