--- a/src/libs/edge/leadershiplog.cpp
+++ b/src/libs/edge/leadershiplog.cpp
@@ -37,9 +37,8 @@
         if (left <= Utils::Duration::zero())
             continue;
         Logging::write(Logging::Level::Info, "hold_ended",
-            { { "service", service.value }, { "upstream", hold.upstream.value },
-                { "first", hold.span.first }, { "last", hold.span.last }, { "why", reason },
-                { "left_ms", Utils::toMilliseconds(left) },
+            { { "service", service.value }, { "upstream", hold.upstream.value }, { "first", hold.span.first },
+                { "last", hold.span.last }, { "why", reason }, { "left_ms", Utils::toMilliseconds(left) },
                 { "in_flight", hold.pendingLeaseExpiry != Utils::Instant {} } });
     }
 }
--- a/src/libs/granting/granter.cpp
+++ b/src/libs/granting/granter.cpp
@@ -64,9 +64,9 @@
 /// Records that \a upstream holds no keys, and returns the holds that it had.
 std::vector<PossibleHolder> removePossibleHolds(Granter& granter, const Utils::UpstreamId& upstream)
 {
-    const auto firstRemoved = std::stable_partition(granter.possibleHolders.begin(),
-        granter.possibleHolders.end(),
-        [&upstream](const PossibleHolder& holder) { return holder.upstream != upstream; });
+    const auto firstRemoved
+        = std::stable_partition(granter.possibleHolders.begin(), granter.possibleHolders.end(),
+            [&upstream](const PossibleHolder& holder) { return holder.upstream != upstream; });
     std::vector<PossibleHolder> removed(firstRemoved, granter.possibleHolders.end());
     granter.possibleHolders.erase(firstRemoved, granter.possibleHolders.end());
     return removed;
--- a/tests/auto/granting/grantsimulation.cpp
+++ b/tests/auto/granting/grantsimulation.cpp
@@ -30,6 +30,9 @@
 };
 
 struct Upstream {
+    /// Number of starts of the process, and when the last one was or will be.
+    unsigned starts = 0;
+    Utils::Instant startedAt {};
     std::vector<KeyLease> leases;
     /// Highest token seen, by probe key.
     std::map<std::uint16_t, std::uint64_t> highestSeenTokens;
@@ -64,6 +67,7 @@
     std::vector<LeaderRecord> leaders;
     std::vector<KeyAssignment> records;
     bool isStoreDown = false;
+    unsigned restarts = 0;
     std::map<std::uint16_t, std::uint64_t> highestTokens;
     std::map<std::uint16_t, unsigned> highestTokenHolders;
     Outcome outcome;
@@ -187,7 +191,7 @@
     }
     upstream.leases = std::move(remaining);
     for (const std::uint16_t key : probeKeys) {
-        if (Routing::contains(action.span, key))
+        if (Routing::contains(action.span, key) && simulation.guards.releaseRaisesToken)
             upstream.highestSeenTokens[key] = std::max(upstream.highestSeenTokens[key], action.token);
     }
     return GrantOutcome::Accepted;
@@ -204,12 +208,24 @@
         recordGrantOutcome(*state.granter, action, grantOutcome, "", simulation.now);
 }
 
-void sendAction(Simulation& simulation, unsigned vm, GrantAction action)
+/// Whether the process that a call was sent to still runs.
+bool isRunning(const Simulation& simulation, unsigned upstream, unsigned starts)
+{
+    const Upstream& state = simulation.upstreams[upstream];
+    return state.starts == starts && state.startedAt <= simulation.now;
+}
+
+/// Time from the arrival of a release to its response: the requests that run on the keys end first.
+Utils::Duration releaseDuration(Simulation& simulation)
+{
+    return happens(simulation, 0.3) ? randomDuration(simulation, 200ms, 2900ms)
+                                    : randomDuration(simulation, 1ms, 40ms);
+}
+
+void sendAction(Simulation& simulation, unsigned vm, const GrantAction& action)
 {
     const std::uint64_t term = *simulation.vms[vm].leadership.term;
     addToTrace(simulation, std::to_string(vm) + " sends " + describe(action));
-    if (!simulation.guards.releaseRaisesToken && action.kind == GrantAction::Kind::Release)
-        action.token = 0;
     const bool isUnreachable
         = simulation.upstreams[upstreamIndex(action.upstream)].isPartitioned || happens(simulation, 0.05);
     if (isUnreachable) {
@@ -223,9 +239,18 @@
         isSlow ? randomDuration(simulation, 300ms, grantTimeout) : randomDuration(simulation, 1ms, 40ms),
         [&simulation, vm, term, action] {
             const Utils::Instant arrived = simulation.now;
+            const unsigned upstream = upstreamIndex(action.upstream);
+            const unsigned starts = simulation.upstreams[upstream].starts;
+            if (!isRunning(simulation, upstream, starts)) {
+                deliverOutcome(simulation, vm, term, action, GrantOutcome::ConnectionRefused);
+                return;
+            }
             if (action.kind == GrantAction::Kind::Grant && happens(simulation, 0.1)) {
                 schedule(simulation, randomDuration(simulation, 2s, 6s),
-                    [&simulation, action, arrived] { applyGrant(simulation, action, arrived); });
+                    [&simulation, action, arrived, upstream, starts] {
+                        if (isRunning(simulation, upstream, starts))
+                            applyGrant(simulation, action, arrived);
+                    });
                 schedule(simulation, 460ms, [&simulation, vm, term, action] {
                     deliverOutcome(simulation, vm, term, action, GrantOutcome::Unknown);
                 });
@@ -235,7 +260,10 @@
                 ? applyGrant(simulation, action, arrived)
                 : applyRelease(simulation, action);
             const bool isResponseLost = happens(simulation, 0.05);
-            schedule(simulation, isResponseLost ? grantTimeout : randomDuration(simulation, 1ms, 40ms),
+            const Utils::Duration duration = action.kind == GrantAction::Kind::Release
+                ? releaseDuration(simulation)
+                : randomDuration(simulation, 1ms, 40ms);
+            schedule(simulation, isResponseLost ? grantTimeout : duration,
                 [&simulation, vm, term, action, grantOutcome, isResponseLost] {
                     deliverOutcome(
                         simulation, vm, term, action, isResponseLost ? GrantOutcome::Unknown : grantOutcome);
@@ -277,8 +305,12 @@
     const std::uint16_t ends[] = { 19999, 39999, 59999, 65535 };
     std::uint16_t first = 0;
     for (const std::uint16_t last : ends) {
-        plan.push_back(
-            { { first, last }, upstreamId(static_cast<unsigned>(simulation.random() % upstreamCount)) });
+        const Utils::UpstreamId holder
+            = upstreamId(static_cast<unsigned>(simulation.random() % upstreamCount));
+        if (!plan.empty() && plan.back().holder == holder)
+            plan.back().span.last = last;
+        else
+            plan.push_back({ { first, last }, holder });
         first = static_cast<std::uint16_t>(last + 1);
     }
     return plan;
@@ -408,8 +440,38 @@
         actAsLeader(simulation, vm);
 }
 
+/// Ends the process of \a upstream and starts it again under its id. Each VM learns of the restart later, an
+/// upstream that is cut off from the store much later.
+void restartUpstream(Simulation& simulation, unsigned upstream)
+{
+    Upstream& state = simulation.upstreams[upstream];
+    ++simulation.restarts;
+    ++state.starts;
+    state.startedAt = simulation.now + randomDuration(simulation, 10ms, 3s);
+    state.leases.clear();
+    state.highestSeenTokens.clear();
+    addToTrace(simulation, "restart of " + upstreamId(upstream).value);
+    const Utils::Duration untilStart = state.startedAt - simulation.now;
+    const Utils::Duration untilReport = happens(simulation, 0.5) ? randomDuration(simulation, 0ms, 6s)
+                                                                 : randomDuration(simulation, 0ms, 300ms);
+    for (unsigned vm = 0; vm < vmCount; ++vm) {
+        schedule(simulation, untilStart + untilReport + randomDuration(simulation, 0ms, 300ms),
+            [&simulation, vm, upstream] {
+                addToTrace(simulation,
+                    std::to_string(vm) + " learns of the restart of " + upstreamId(upstream).value);
+                if (simulation.vms[vm].granter)
+                    recordRestart(*simulation.vms[vm].granter, upstreamId(upstream));
+            });
+    }
+}
+
 void injectFaults(Simulation& simulation)
 {
+    for (unsigned upstream = 0; upstream < upstreamCount; ++upstream) {
+        const bool isUp = simulation.upstreams[upstream].startedAt <= simulation.now;
+        if (isUp && happens(simulation, 0.001))
+            restartUpstream(simulation, upstream);
+    }
     if (happens(simulation, 0.002))
         simulation.isStoreDown = !simulation.isStoreDown;
     if (simulation.isStoreDown && happens(simulation, 0.004))
@@ -455,6 +517,7 @@
     }
     for (std::size_t index = 1; index < simulation.leaders.size(); ++index)
         simulation.outcome.terms += simulation.leaders[index].vm != simulation.leaders[index - 1].vm ? 1 : 0;
+    simulation.outcome.restarts = simulation.restarts;
     return simulation.outcome;
 }
 
--- a/tests/auto/granting/grantsimulation.h
+++ b/tests/auto/granting/grantsimulation.h
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
-/// Simulates the production decisions of two VMs in virtual time, with a store, three upstreams, and messages
-/// that are delayed, lost, or applied after their timeout.
+/// Simulates the production decisions of two VMs in virtual time, with a store, three upstreams that restart,
+/// and messages that are delayed, lost, or applied after their timeout.
 namespace GrantTest {
 
 /// Guards that a run can disable, to show that the simulation detects the fault that each prevents.
@@ -32,6 +32,8 @@
     /// Completed moves of keys.
     unsigned moves = 0;
     unsigned terms = 0;
+    /// Restarts of upstreams.
+    unsigned restarts = 0;
     std::string firstFault;
 };
 
--- a/tests/auto/granting/tst_granter.cpp
+++ b/tests/auto/granting/tst_granter.cpp
@@ -1,53 +1,16 @@
-#include <granting/granter.h>
-#include <granting/grantingconstants.h>
+#include "confirmedgranter.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 
 using namespace Granting;
+using namespace GrantTest;
 using namespace std::chrono_literals;
 
-namespace {
-
-const Utils::Instant start { 1000s };
-const Utils::UpstreamId one { "one" };
-const Utils::UpstreamId two { "two" };
-constexpr Routing::KeySpan lower { 0, 32767 };
-constexpr Routing::KeySpan upper { 32768, 65535 };
-
-/// A granter with both halves of the keys written, granted and confirmed at \c start.
-Granter confirmedGranter()
-{
-    Granter granter;
-    granter.assignment.service = { "s" };
-    granter.assignment.term = 5;
-    applyWrittenRecord(
-        granter, makeNextRecord(granter, std::vector<KeyPlacement> { { lower, one }, { upper, two } }));
-    for (const GrantAction& action : collectDueActions(granter, keyLeaseDuration, start))
-        recordGrantOutcome(granter, action, GrantOutcome::Accepted, "", start);
-    return granter;
-}
-
-const GrantAction* actionFor(
-    const std::vector<GrantAction>& actions, GrantAction::Kind kind, const Utils::UpstreamId& upstream)
-{
-    const auto found = std::find_if(actions.begin(), actions.end(),
-        [&](const GrantAction& action) { return action.kind == kind && action.upstream == upstream; });
-    return found == actions.end() ? nullptr : &*found;
-}
-
-void moveUpper(Granter& granter)
-{
-    applyWrittenRecord(
-        granter, makeNextRecord(granter, std::vector<KeyPlacement> { { lower, one }, { upper, one } }));
-}
-
-} // namespace
-
 TEST_CASE("First grants are sent at once and confirm their segments", "[granter]")
 {
-    const Granter granter = confirmedGranter();
+    const Granter granter = makeConfirmedGranter();
     for (const Segment& segment : granter.assignment.segments)
         CHECK(segment.isConfirmed);
     CHECK(granter.hasUnwrittenChanges);
@@ -55,7 +18,7 @@
 
 TEST_CASE("Key leases are renewed by a repeated grant with the same token", "[granter]")
 {
-    Granter granter = confirmedGranter();
+    Granter granter = makeConfirmedGranter();
     CHECK(collectDueActions(granter, keyLeaseDuration, start + keyLeaseRenewalInterval - 1ms).empty());
     const std::vector<GrantAction> actions
         = collectDueActions(granter, keyLeaseDuration, start + keyLeaseRenewalInterval);
@@ -67,19 +30,19 @@
 TEST_CASE(
     "Keys move by a release, and the grant carries the handover data of the previous holder", "[granter]")
 {
-    Granter granter = confirmedGranter();
+    Granter granter = makeConfirmedGranter();
     const std::uint64_t previousToken = granter.assignment.segments[1].token;
-    moveUpper(granter);
+    moveUpperKeys(granter);
     const Utils::Instant at = start + keyLeaseRenewalInterval;
     std::vector<GrantAction> actions = collectDueActions(granter, keyLeaseDuration, at);
-    const GrantAction* release = actionFor(actions, GrantAction::Kind::Release, two);
+    const GrantAction* release = findAction(actions, GrantAction::Kind::Release, two);
     REQUIRE(release);
     CHECK(release->span == upper);
     CHECK(release->token > previousToken);
     const std::uint64_t releaseToken = release->token;
     recordGrantOutcome(granter, *release, GrantOutcome::Accepted, "proof", at);
     actions = collectDueActions(granter, keyLeaseDuration, at);
-    const GrantAction* grant = actionFor(actions, GrantAction::Kind::Grant, one);
+    const GrantAction* grant = findAction(actions, GrantAction::Kind::Grant, one);
     REQUIRE(grant);
     CHECK(grant->handover == "proof");
     CHECK(grant->token > releaseToken);
@@ -100,8 +63,8 @@
         { "drift and margin are over", end, true },
     }));
     INFO(row.name);
-    Granter granter = confirmedGranter();
-    moveUpper(granter);
+    Granter granter = makeConfirmedGranter();
+    moveUpperKeys(granter);
     for (const GrantAction& action :
         collectDueActions(granter, keyLeaseDuration, start + keyLeaseRenewalInterval))
         recordGrantOutcome(granter, action, GrantOutcome::Unknown, "", start + keyLeaseRenewalInterval);
@@ -115,13 +78,13 @@
 TEST_CASE(
     "The keys of a restarted upstream are free at once, and its next grant gets a higher token", "[granter]")
 {
-    Granter granter = confirmedGranter();
+    Granter granter = makeConfirmedGranter();
     const std::uint64_t previousToken = granter.assignment.segments[1].token;
     recordRestart(granter, two);
     CHECK_FALSE(granter.assignment.segments[1].isConfirmed);
     const std::vector<GrantAction> actions
         = collectDueActions(granter, keyLeaseDuration, start + keyLeaseRenewalInterval);
-    const GrantAction* grant = actionFor(actions, GrantAction::Kind::Grant, two);
+    const GrantAction* grant = findAction(actions, GrantAction::Kind::Grant, two);
     REQUIRE(grant);
     CHECK(grant->token > previousToken);
 }
@@ -130,13 +93,13 @@
 {
     // A renewal sent after the termination was known would delay the move of the keys until its lease
     // expires.
-    Granter granter = confirmedGranter();
+    Granter granter = makeConfirmedGranter();
     recordTermination(granter, two);
     const std::vector<GrantAction> actions
         = collectDueActions(granter, keyLeaseDuration, start + keyLeaseRenewalInterval);
-    CHECK(actionFor(actions, GrantAction::Kind::Grant, two) == nullptr);
-    CHECK(actionFor(actions, GrantAction::Kind::Grant, one));
-    moveUpper(granter);
+    CHECK(findAction(actions, GrantAction::Kind::Grant, two) == nullptr);
+    CHECK(findAction(actions, GrantAction::Kind::Grant, one));
+    moveUpperKeys(granter);
     const std::vector<GrantAction> moved
         = collectDueActions(granter, keyLeaseDuration, start + keyLeaseRenewalInterval + 1ms);
     REQUIRE(moved.size() == 1);
@@ -146,52 +109,52 @@
 
 TEST_CASE("A grant whose connection was refused does not extend the key lease", "[granter]")
 {
-    Granter granter = confirmedGranter();
+    Granter granter = makeConfirmedGranter();
     const Utils::Instant renewal = start + keyLeaseRenewalInterval;
     for (const GrantAction& action : collectDueActions(granter, keyLeaseDuration, renewal)) {
         if (action.upstream == two)
             recordGrantOutcome(granter, action, GrantOutcome::ConnectionRefused, "", renewal + 1ms);
     }
-    moveUpper(granter);
+    moveUpperKeys(granter);
     const Utils::Instant end = start + keyLeaseDuration + keyLeaseDuration / 50 + expiryMargin;
     CHECK(
-        actionFor(collectDueActions(granter, keyLeaseDuration, end - 1ms), GrantAction::Kind::Release, two));
+        findAction(collectDueActions(granter, keyLeaseDuration, end - 1ms), GrantAction::Kind::Release, two));
     const std::vector<GrantAction> after
         = collectDueActions(granter, keyLeaseDuration, end + grantRetryInterval);
-    CHECK(actionFor(after, GrantAction::Kind::Release, two) == nullptr);
+    CHECK(findAction(after, GrantAction::Kind::Release, two) == nullptr);
 }
 
 TEST_CASE("A new leader considers every upstream in the record a possible holder for the maximum key lease",
     "[granter]")
 {
-    Granter previousGranter = confirmedGranter();
+    Granter previousGranter = makeConfirmedGranter();
     const KeyAssignment record
         = makeNextRecord(previousGranter, std::vector<KeyPlacement> { { lower, one }, { upper, one } });
     REQUIRE(record.segments.back().previousHolders == std::vector<Utils::UpstreamId> { two });
     Granter granter = takeOver(record, 9, 10s, start);
     std::vector<GrantAction> actions = collectDueActions(granter, keyLeaseDuration, start);
-    CHECK(actionFor(actions, GrantAction::Kind::Release, two));
+    CHECK(findAction(actions, GrantAction::Kind::Release, two));
     for (const GrantAction& action : actions) {
         CHECK(action.token > previousGranter.assignment.term * tokensPerTerm + previousGranter.tokensUsed);
         recordGrantOutcome(granter, action, GrantOutcome::Unknown, "", start);
     }
     actions = collectDueActions(granter, keyLeaseDuration, start + 10s);
-    CHECK(actionFor(actions, GrantAction::Kind::Release, two));
+    CHECK(findAction(actions, GrantAction::Kind::Release, two));
 }
 
 TEST_CASE("A new holder gets no grant before the record that names it is written", "[granter]")
 {
-    Granter granter = confirmedGranter();
+    Granter granter = makeConfirmedGranter();
     makeNextRecord(granter, std::vector<KeyPlacement> { { lower, one }, { upper, one } });
     const std::vector<GrantAction> actions
         = collectDueActions(granter, keyLeaseDuration, start + keyLeaseRenewalInterval);
-    CHECK(actionFor(actions, GrantAction::Kind::Release, two) == nullptr);
-    CHECK(actionFor(actions, GrantAction::Kind::Grant, two));
+    CHECK(findAction(actions, GrantAction::Kind::Release, two) == nullptr);
+    CHECK(findAction(actions, GrantAction::Kind::Grant, two));
 }
 
 TEST_CASE("Retries to an unresponsive holder do not extend its key lease", "[granter]")
 {
-    Granter granter = confirmedGranter();
+    Granter granter = makeConfirmedGranter();
     Utils::Instant at = start + keyLeaseRenewalInterval;
     for (const GrantAction& action : collectDueActions(granter, keyLeaseDuration, at))
         recordGrantOutcome(
@@ -240,7 +203,7 @@
 TEST_CASE(
     "An unresponsive upstream without keys becomes eligible again after the retention time", "[granter]")
 {
-    Granter granter = confirmedGranter();
+    Granter granter = makeConfirmedGranter();
     granter.unresponsiveSince[two] = start;
     granter.unresponsiveSince[{ "three" }] = start;
     forgetUnresponsiveUpstreams(granter, start + unresponsiveUpstreamRetention);
@@ -250,7 +213,7 @@
 
 TEST_CASE("A rejected token is replaced by a higher one", "[granter]")
 {
-    Granter granter = confirmedGranter();
+    Granter granter = makeConfirmedGranter();
     const std::uint64_t previousToken = granter.assignment.segments[0].token;
     for (const GrantAction& action :
         collectDueActions(granter, keyLeaseDuration, start + keyLeaseRenewalInterval))
