Keep the holds of an upstream that restarts until it has released them

Callers' keys were held by two upstreams at once (OWNER): when the leader read the report of a restart it dropped all holds of the upstream, and a plan made at that moment granted the keys to another one. The report comes later than the restart, much later if the upstream is cut off from the store and restarts behind the cut; renewals that the new process accepted meanwhile or that are in flight are leases of that process. A new leader that reads a restart which its predecessor knew drops leases granted since.

Ruled out: dropping only holds granted before the start of the new process, as clocks differ and the start time is the upstream's own; asking for the process in the answer to a grant, as the protocol has none.

Now a restart only makes the segments unconfirmed, with a higher token. Keys that stay with the upstream are granted at once as before; keys that move need its release, which a running process answers, or the end of the lease. A termination still ends holds at once.

--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -224,7 +224,7 @@
 void recordUpstreamRestarted(Node& node, const Utils::UpstreamId& upstream)
 {
     for (auto it = node.leader.granters.begin(); it != node.leader.granters.end(); ++it)
-        logEndedHolds(it->first, Granting::recordRestart(it->second, upstream), "restarted");
+        Granting::recordRestart(it->second, upstream);
 }
 
 void applyLoadReport(Node& node, const Granting::LoadReport& report)
--- a/src/libs/granting/granter.cpp
+++ b/src/libs/granting/granter.cpp
@@ -339,11 +339,10 @@
     return segment && Internal::applyGrantOutcome(granter, *segment, action, outcome);
 }
 
-std::vector<PossibleHolder> recordRestart(Granter& granter, const Utils::UpstreamId& upstream)
+void recordRestart(Granter& granter, const Utils::UpstreamId& upstream)
 {
     granter.unresponsiveSince.erase(upstream);
     granter.terminatedUpstreams.erase(upstream);
-    std::vector<PossibleHolder> ended = Internal::removePossibleHolds(granter, upstream);
     for (Segment& segment : granter.assignment.segments) {
         if (segment.holder != upstream)
             continue;
@@ -352,14 +351,13 @@
         segment.token = 0;
         granter.hasUnwrittenChanges = true;
     }
-    return ended;
 }
 
 std::vector<PossibleHolder> recordTermination(Granter& granter, const Utils::UpstreamId& upstream)
 {
-    std::vector<PossibleHolder> ended = recordRestart(granter, upstream);
+    recordRestart(granter, upstream);
     granter.terminatedUpstreams.insert(upstream);
-    return ended;
+    return Internal::removePossibleHolds(granter, upstream);
 }
 
 std::set<Utils::UpstreamId> findUnresponsiveUpstreams(const Granter& granter, Utils::Instant now)
--- a/src/libs/granting/granter.h
+++ b/src/libs/granting/granter.h
@@ -60,9 +60,9 @@
 bool recordGrantOutcome(Granter& granter, const GrantAction& action, GrantOutcome outcome,
     const std::string& handover, Utils::Instant now);
 
-/// Records that the process of \a upstream has restarted: it holds no keys. Returns the holds that end with
-/// it.
-std::vector<PossibleHolder> recordRestart(Granter& granter, const Utils::UpstreamId& upstream);
+/// Records that the process of \a upstream has restarted. Its segments are granted again with a higher token.
+/// Its holds stay: the new process may have accepted renewals before the restart became known.
+void recordRestart(Granter& granter, const Utils::UpstreamId& upstream);
 
 /// Records that the process of \a upstream has certainly terminated: it holds no keys, and gets no grants
 /// until its keys have been assigned to others. Returns the holds that end with it.
