Keep holds that were granted after the release that is answered

Keys were held by two upstreams at once (OWNER): an upstream answers a release when its running requests have ended, up to three seconds later. When a later plan gives it some of the keys back meanwhile, the answer dropped the hold of the newer grant too; the next move of these keys granted them to another upstream while the lease ran.

Ruled out: waiting with the grant for the answer, which leaves keys without a holder for as long; matching spans, as plans cut them anew.

A hold now knows the highest token that was sent for it, and a release ends only holds with a lower one. Upstreams refuse lower tokens after a release, so none of the grants sent before it can take effect later.

--- a/src/libs/granting/granter.cpp
+++ b/src/libs/granting/granter.cpp
@@ -33,7 +33,7 @@
         if (holder.span == span && holder.upstream == upstream)
             return holder;
     }
-    granter.possibleHolders.push_back({ span, upstream, {}, {} });
+    granter.possibleHolders.push_back({ span, upstream, 0, {}, {} });
     return granter.possibleHolders.back();
 }
 
@@ -42,21 +42,30 @@
     return std::max(holder.leaseExpiry, holder.pendingLeaseExpiry);
 }
 
-/// Records that \a upstream holds no keys of \a span.
-void removePossibleHolder(Granter& granter, const Routing::KeySpan& span, const Utils::UpstreamId& upstream)
+PossibleHolder withSpan(PossibleHolder holder, std::uint16_t first, std::uint16_t last)
+{
+    holder.span = { first, last };
+    return holder;
+}
+
+/// Records that an upstream has carried out \a release: it holds no keys of the span by grants with a lower
+/// token. It may have been granted some again since, as the response waits for running requests.
+void removeReleasedHolds(Granter& granter, const GrantAction& release)
 {
     std::vector<PossibleHolder> remaining;
     for (const PossibleHolder& holder : granter.possibleHolders) {
-        if (holder.upstream != upstream || !overlap(holder.span, span)) {
+        const bool isReleased = holder.upstream == release.upstream && overlap(holder.span, release.span)
+            && holder.token < release.token;
+        if (!isReleased) {
             remaining.push_back(holder);
             continue;
         }
-        if (holder.span.first < span.first)
-            remaining.push_back({ { holder.span.first, static_cast<std::uint16_t>(span.first - 1) }, upstream,
-                holder.leaseExpiry, holder.pendingLeaseExpiry });
-        if (holder.span.last > span.last)
-            remaining.push_back({ { static_cast<std::uint16_t>(span.last + 1), holder.span.last }, upstream,
-                holder.leaseExpiry, holder.pendingLeaseExpiry });
+        if (holder.span.first < release.span.first)
+            remaining.push_back(
+                withSpan(holder, holder.span.first, static_cast<std::uint16_t>(release.span.first - 1)));
+        if (holder.span.last > release.span.last)
+            remaining.push_back(
+                withSpan(holder, static_cast<std::uint16_t>(release.span.last + 1), holder.span.last));
     }
     granter.possibleHolders = std::move(remaining);
 }
@@ -140,6 +149,7 @@
     if (!segment.isConfirmed && handover != granter.handovers.end())
         action.handover = handover->second;
     PossibleHolder& holder = findOrAddPossibleHolder(granter, segment.span, segment.holder);
+    holder.token = std::max(holder.token, action.token);
     holder.pendingLeaseExpiry
         = std::max(holder.pendingLeaseExpiry, latestLeaseExpiry(action.keyLease, now + grantTimeout));
     return action;
@@ -230,7 +240,7 @@
 {
     if (outcome != GrantOutcome::Accepted)
         return;
-    removePossibleHolder(granter, action.span, action.upstream);
+    removeReleasedHolds(granter, action);
     if (!handover.empty())
         granter.handovers[action.segmentFirstKey] = handover;
     // The released keys are granted without waiting for the retry interval.
