Count key leases from the end of a grant's call instead of its decision

Keys were held by two upstreams at once (OWNER) in the model with a slow VM: the latest arrival of a grant was counted from the beginning of the leader's tick. A VM that is short of processor time sends the call after planning, up to hundreds of milliseconds later, and notices its timeout late; the timeout of the call counts from its sending. An accepted grant was believed to have arrived no later than counted, and a hold whose counted end had passed was dropped while the grant was in flight.

A hold with a grant in flight now stays until the call has ended, and its lease counts from that moment. The outcome finds its hold by the granted span and the token, also after a release has split it. A call that connects after its deadline sends nothing, and the leader checks its lease again after planning.

--- a/src/libs/edge/callpool.cpp
+++ b/src/libs/edge/callpool.cpp
@@ -144,6 +144,10 @@
                     : CallOutcome::NotConnected);
             return;
         }
+        if (now() >= call->deadline) {
+            failCall(pool, id, CallOutcome::NotConnected);
+            return;
+        }
         configureSocket(call->socket);
         armTimer(pool, id, call, call->deadline - now());
         sendRequest(pool, id, call);
--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -144,8 +144,10 @@
     if (!leader.rereadNeeded)
         planKeyPlacements(node, at);
     // Nothing is granted before the first write has shown that the records read before were the newest.
-    if (leader.hasWrittenInTerm)
-        sendDueGrants(node, at);
+    // Planning may take long on a slow VM.
+    const Utils::Instant plannedAt = now();
+    if (leader.hasWrittenInTerm && Granting::holdsLeaderLease(leader.leadership, plannedAt))
+        sendDueGrants(node, plannedAt);
 }
 
 /// Relative delay (0..1) with which this VM tries to acquire an expired lease. VMs with a large share of a
--- a/src/libs/granting/granter.cpp
+++ b/src/libs/granting/granter.cpp
@@ -33,10 +33,12 @@
         if (holder.span == span && holder.upstream == upstream)
             return holder;
     }
-    granter.possibleHolders.push_back({ span, upstream, 0, {}, {} });
+    granter.possibleHolders.push_back({ span, span, upstream, 0, {}, {} });
     return granter.possibleHolders.back();
 }
 
+bool isGrantInFlight(const PossibleHolder& holder) { return holder.pendingLeaseExpiry != Utils::Instant {}; }
+
 Utils::Instant latestExpiry(const PossibleHolder& holder)
 {
     return std::max(holder.leaseExpiry, holder.pendingLeaseExpiry);
@@ -202,19 +204,21 @@
     segment.isConfirmed = !segment.holder.value.empty() && confirmedKeys == Routing::countKeys(segment.span);
 }
 
-/// Updates the lease expiry after the outcome of a grant. An accepted grant arrived before its response; one
-/// without a response may have arrived as late as its timeout permits; one whose connection was refused did
+/// Updates the lease expiry after the outcome of a grant. The call has ended, so that the grant arrived
+/// before now or never: a slow VM sends it and notices its timeout late. One whose connection was refused did
 /// not arrive.
 void updatePossibleHolder(
     Granter& granter, const GrantAction& action, GrantOutcome outcome, Utils::Instant now)
 {
     for (PossibleHolder& holder : granter.possibleHolders) {
-        if (holder.upstream != action.upstream || holder.span != action.span)
+        if (holder.upstream != action.upstream || holder.token != action.token
+            || holder.grantedSpan != action.span)
             continue;
-        const Utils::Instant end = outcome == GrantOutcome::Accepted ? latestLeaseExpiry(action.keyLease, now)
-                                                                     : holder.pendingLeaseExpiry;
-        if (outcome != GrantOutcome::ConnectionRefused)
-            holder.leaseExpiry = std::max(holder.leaseExpiry, std::min(end, holder.pendingLeaseExpiry));
+        const Utils::Instant end = latestLeaseExpiry(action.keyLease, now);
+        if (outcome == GrantOutcome::Accepted)
+            holder.leaseExpiry = std::max(holder.leaseExpiry, end);
+        else if (outcome != GrantOutcome::ConnectionRefused)
+            holder.leaseExpiry = std::max({ holder.leaseExpiry, holder.pendingLeaseExpiry, end });
         holder.pendingLeaseExpiry = {};
     }
 }
@@ -311,8 +315,10 @@
 
 std::vector<GrantAction> collectDueActions(Granter& granter, Utils::Duration keyLease, Utils::Instant now)
 {
-    std::erase_if(granter.possibleHolders,
-        [now](const PossibleHolder& holder) { return Internal::latestExpiry(holder) <= now; });
+    // A grant in flight may be late, and its lease counts from its arrival.
+    std::erase_if(granter.possibleHolders, [now](const PossibleHolder& holder) {
+        return !Internal::isGrantInFlight(holder) && holder.leaseExpiry <= now;
+    });
     std::vector<GrantAction> actions;
     for (Segment& segment : granter.assignment.segments) {
         SentAction& sent = granter.sentActions[segment.span.first];
--- a/tests/auto/granting/grantsimulation.cpp
+++ b/tests/auto/granting/grantsimulation.cpp
@@ -222,9 +222,8 @@
                                     : randomDuration(simulation, 1ms, 40ms);
 }
 
-void sendAction(Simulation& simulation, unsigned vm, const GrantAction& action)
+void sendAction(Simulation& simulation, unsigned vm, std::uint64_t term, const GrantAction& action)
 {
-    const std::uint64_t term = *simulation.vms[vm].leadership.term;
     addToTrace(simulation, std::to_string(vm) + " sends " + describe(action));
     const bool isUnreachable
         = simulation.upstreams[upstreamIndex(action.upstream)].isPartitioned || happens(simulation, 0.05);
@@ -405,8 +404,17 @@
         return;
     const Utils::Duration keyLease
         = isStoreUnresponsive(state.leadership, simulation.now) ? maxKeyLease : keyLeaseDuration;
-    for (const GrantAction& action : collectDueActions(*state.granter, keyLease, simulation.now))
-        sendAction(simulation, vm, action);
+    const std::uint64_t term = *state.leadership.term;
+    // A slow VM sends its calls long after it has decided on them.
+    const Utils::Duration delay
+        = happens(simulation, 0.02) ? randomDuration(simulation, 50ms, 800ms) : Utils::Duration(0ms);
+    for (const GrantAction& action : collectDueActions(*state.granter, keyLease, simulation.now)) {
+        if (delay == Utils::Duration(0ms))
+            sendAction(simulation, vm, term, action);
+        else
+            schedule(simulation, delay,
+                [&simulation, vm, term, action] { sendAction(simulation, vm, term, action); });
+    }
 }
 
 void tickVm(Simulation& simulation, unsigned vm)
--- /dev/null
+++ b/tests/auto/granting/tst_lategrant.cpp
@@ -0,0 +1,78 @@
+#include "confirmedgranter.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Granting;
+using namespace GrantTest;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool isGrantedToOther(Granter& granter, Utils::Instant at)
+{
+    const std::vector<GrantAction> actions = collectDueActions(granter, keyLeaseDuration, at);
+    for (const GrantAction& action : actions) {
+        if (action.kind == GrantAction::Kind::Release)
+            recordGrantOutcome(granter, action, GrantOutcome::Unknown, "", at);
+    }
+    return std::any_of(actions.begin(), actions.end(), [](const GrantAction& action) {
+        return action.kind == GrantAction::Kind::Grant && action.span.last == upper.last;
+    });
+}
+
+} // namespace
+
+TEST_CASE("A key lease counts from the end of the call, however late a slow VM sends it", "[lategrant]")
+{
+    // A VM that is short of processor time sends a grant long after the decision, and notices the timeout of
+    // the call late.
+    struct Row {
+        const char* name;
+        GrantOutcome outcome;
+        Utils::Duration ended;
+    };
+    const Row row = GENERATE(values<Row>({
+        { "accepted late", GrantOutcome::Accepted, 900ms },
+        { "timed out late", GrantOutcome::Unknown, 1300ms },
+        { "accepted after the lease would have expired", GrantOutcome::Accepted, 7s },
+        { "accepted in time", GrantOutcome::Accepted, 20ms },
+        { "timed out in time", GrantOutcome::Unknown, grantTimeout },
+    }));
+    INFO(row.name);
+    Granter granter = makeConfirmedGranter();
+    const Utils::Instant decided = start + keyLeaseRenewalInterval;
+    const std::vector<GrantAction> renewals = collectDueActions(granter, keyLeaseDuration, decided);
+    const GrantAction* const renewal = findAction(renewals, GrantAction::Kind::Grant, two);
+    REQUIRE(renewal);
+    moveUpperKeys(granter);
+    const Utils::Instant ended = decided + row.ended;
+    CHECK_FALSE(isGrantedToOther(granter, ended - 1ms));
+    recordGrantOutcome(granter, *renewal, row.outcome, "", ended);
+    const Utils::Duration lease = keyLeaseDuration + keyLeaseDuration / 50 + expiryMargin;
+    CHECK_FALSE(isGrantedToOther(granter, ended + lease - 1ms));
+    CHECK(isGrantedToOther(granter, ended + lease + grantRetryInterval));
+}
+
+TEST_CASE("A hold that a release has split ends with the grant that was in flight", "[lategrant]")
+{
+    Granter granter = makeConfirmedGranter();
+    const Utils::Instant at = start + keyLeaseRenewalInterval;
+    const std::vector<GrantAction> renewals = collectDueActions(granter, keyLeaseDuration, at);
+    const GrantAction* const renewal = findAction(renewals, GrantAction::Kind::Grant, two);
+    REQUIRE(renewal);
+    constexpr std::uint16_t middle = 50000;
+    applyWrittenRecord(granter,
+        makeNextRecord(granter,
+            std::vector<KeyPlacement> {
+                { lower, one }, { { upper.first, middle - 1 }, two }, { { middle, upper.last }, one } }));
+    const std::vector<GrantAction> actions = collectDueActions(granter, keyLeaseDuration, at + 10ms);
+    const GrantAction* const release = findAction(actions, GrantAction::Kind::Release, two);
+    REQUIRE(release);
+    recordGrantOutcome(granter, *release, GrantOutcome::Accepted, "", at + 20ms);
+    recordGrantOutcome(granter, *renewal, GrantOutcome::ConnectionRefused, "", at + 30ms);
+    const bool isInFlight = std::any_of(
+        granter.possibleHolders.begin(), granter.possibleHolders.end(), [](const PossibleHolder& holder) {
+            return holder.upstream == two && holder.pendingLeaseExpiry != Utils::Instant {};
+        });
+    CHECK_FALSE(isInFlight);
+}
