Notice when a VM reaches no upstream at all

A VM that is partitioned from all upstreams took each of them for failed: nothing told its own links from theirs. Failures of three different upstreams within 1.5 s without a new connection to any are a suspicion now, three probes that connect nowhere confirm it, and one connection ends it. Only new connections count as a success, as old ones may live on while new ones are refused.

Ruled out: silence of responses (work of 640 ms looks like it), failed grants of the leader (silent holders fail again every 300 ms). With nothing failing no probe is sent; probes are three a second at most, four while the reach is lost.

reach_lost and reach_regained log it, with the inputs; crocus_reach_lost is a gauge.

--- a/src/app/crocusferryedge/main.cpp
+++ b/src/app/crocusferryedge/main.cpp
@@ -74,7 +74,12 @@
     return EXIT_SUCCESS;
 }
 
-std::string findSettingsPath(int argc, char** argv)
+struct Options {
+    std::string settingsPath;
+    std::uint16_t upstreamPortOffset = 0;
+};
+
+Options parseOptions(int argc, char** argv)
 {
     TCLAP::CmdLine command(
         "Edge proxy that routes requests on each VM to upstream servers that own keys exclusively.", ' ',
@@ -83,22 +88,27 @@
         std::string("Path of the settings file; if absent, the environment variable ")
             + Platform::settingsPathVariable + " is used",
         false, "", "path", command);
+    TCLAP::ValueArg<std::uint16_t> portOffset("", "upstream-port-offset",
+        "Added to the ports of upstreams, for tests with a proxy in front of them", false, 0, "number",
+        command);
     command.parse(argc, argv);
-    if (path.isSet())
-        return path.getValue();
     const char* const environmentPath = std::getenv(Platform::settingsPathVariable);
-    return environmentPath ? environmentPath : "";
+    Options options;
+    options.settingsPath = path.isSet() ? path.getValue() : environmentPath ? environmentPath : "";
+    options.upstreamPortOffset = portOffset.getValue();
+    return options;
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    const std::string path = findSettingsPath(argc, argv);
+    const Options options = parseOptions(argc, argv);
     Logging::configure(Logging::Level::Info, "crocusferryedge");
-    const std::optional<Routing::VmSettings> settings = readSettings(path);
+    std::optional<Routing::VmSettings> settings = readSettings(options.settingsPath);
     if (!settings)
         return exitBadSettings;
+    settings->upstreamPortOffset = options.upstreamPortOffset;
     Logging::configure(Logging::Level::Info, settings->name.value);
-    return runService(path, *settings);
+    return runService(options.settingsPath, *settings);
 }
--- a/src/libs/edge/grantcalls.cpp
+++ b/src/libs/edge/grantcalls.cpp
@@ -2,6 +2,7 @@
 #include <edge/addressreuse.h>
 #include <edge/grantcalls.h>
 #include <edge/leadershiplog.h>
+#include <edge/upstreamreach.h>
 #include <granting/grantingconstants.h>
 #include <platform/grantcalls.h>
 #include <platform/headers.h>
@@ -70,7 +71,7 @@
         = action.kind == GrantAction::Kind::Grant ? Granting::grantTimeout : releaseTimeout;
     const std::uint64_t term = *node.leader.leadership.term;
     startCall(
-        node.calls, endpoint, makeRequest(action, endpoint), timeout,
+        node.calls, upstreamEndpoint(node, endpoint), makeRequest(action, endpoint), timeout,
         [&node, action, term](const CallResponse& response) {
             if (node.leader.leadership.term == term)
                 handleGrantResponse(node, action, response);
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -1,5 +1,6 @@
 #include <edge/clock.h>
 #include <edge/metricspage.h>
+#include <edge/upstreamreach.h>
 #include <metrics/exposition.h>
 
 namespace Edge {
@@ -38,6 +39,8 @@
         static_cast<double>(node.traffic.poisonRequests.suspects.size()));
     writeSingleSample(text, "crocus_quarantined_requests", "gauge", "Request contents that are rejected",
         static_cast<double>(Balancing::countQuarantined(node.traffic.poisonRequests, now())));
+    writeSingleSample(
+        text, "crocus_reach_lost", "gauge", "1 while this VM reaches no upstream", isReachLost(node) ? 1 : 0);
     writeSingleSample(
         text, "crocus_stopping", "gauge", "1 after a stop was asked for", node.stopping ? 1 : 0);
 }
@@ -67,6 +70,8 @@
     Internal::writeSingleSample(text, "crocus_topic_restarts_total", "counter",
         "Topics that were read anew as their positions were lost",
         static_cast<double>(counters.topicRestarts));
+    Internal::writeSingleSample(text, "crocus_reach_losses_total", "counter",
+        "Times that this VM reached no upstream any more", static_cast<double>(node.reachProbing.losses));
     Internal::writeGauges(text, node);
     Metrics::writeHeading(
         text, "crocus_answer_seconds", "histogram", "From a request to an upstream's answer");
--- a/src/libs/edge/node.h
+++ b/src/libs/edge/node.h
@@ -8,6 +8,7 @@
 #include <edge/topicfollowers.h>
 #include <edge/leaderstate.h>
 #include <edge/quarantinestate.h>
+#include <edge/reachprobing.h>
 #include <edge/relaystate.h>
 #include <edge/traffic.h>
 #include <routing/vmsettings.h>
@@ -37,6 +38,7 @@
         , leader(context)
         , loadReportTimer(context)
         , crashReporting(context)
+        , reachProbing(context)
     {
     }
 
@@ -57,6 +59,7 @@
     Counters counters;
     boost::asio::steady_timer loadReportTimer;
     CrashReporting crashReporting;
+    ReachProbing reachProbing;
     QuarantineRecords quarantineRecords;
     /// A stop was requested: connections of callers are closed as their requests finish.
     bool stopping = false;
--- a/src/libs/edge/upstreamconnection.h
+++ b/src/libs/edge/upstreamconnection.h
@@ -44,6 +44,8 @@
     /// Some of the request may have reached the upstream.
     bool requestHandedOver = false;
     bool requestWritten = false;
+    /// When the attempt in progress began.
+    Utils::Instant startedAt {};
     Utils::Instant sentAt {};
     Utils::Instant idleSince {};
     /// Idle time after which the upstream may close the connection.
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -4,6 +4,7 @@
 #include <edge/crashreports.h>
 #include <edge/exchanges.h>
 #include <edge/responsememory.h>
+#include <edge/upstreamreach.h>
 #include <edge/upstreams.h>
 #include <logging/log.h>
 #include <platform/headers.h>
@@ -176,6 +177,8 @@
     if (outcome == AttemptOutcome::NotConnected && connection->requestHandedOver)
         outcome = AttemptOutcome::TimedOut;
     recordAttemptOutcome(node, *connection, outcome, {});
+    if (outcome != AttemptOutcome::MalformedResponse)
+        recordUpstreamLinkFailure(node, connection->upstream, connection->startedAt);
     finishAttempt(node, connection, outcome);
 }
 
@@ -301,10 +304,12 @@
 {
     ++node.counters.newConnections;
     armTimer(node, connection, std::min(timeout, connectTimeout), AttemptOutcome::NotConnected);
-    connection->socket.async_connect(
-        toTcpEndpoint(connection->endpoint), [&node, connection, exchange, timeout](const ErrorCode& error) {
+    connection->socket.async_connect(toTcpEndpoint(upstreamEndpoint(node, connection->endpoint)),
+        [&node, connection, exchange, timeout](const ErrorCode& error) {
             if (!isOpen(node, *connection) || connection->exchangeId == 0)
                 return;
+            if (!error)
+                recordUpstreamConnected(node);
             if (error) {
                 endAttempt(node, connection, AttemptOutcome::NotConnected);
                 return;
@@ -365,6 +370,7 @@
     connection->exchangeId = exchange->id;
     exchange->connectionId = connection->id;
     const Utils::Instant at = now();
+    connection->startedAt = at;
     Internal::prepareRequest(
         *connection, *exchange, exchange->deadlineAt - at - Internal::responseTransferMargin);
     Balancing::recordRequestSent(node.traffic.upstreamStates[upstream.id].load, at);
