Let a leader that reaches no upstream resign

A VM that has lost its reach resigns, and acquires no lease before it reaches an upstream again. The next leader grants within the key leases that are in force; what the former one has under way counts as for any change of leader. Weighed: sending its calls by way of other VMs, where the latest arrival of a grant would depend on the other VM's clock and pauses; a lease that only lasts while upstreams answer, which a region that is away would flap. When all VMs are cut nobody leads until one reaches an upstream; a region that is away leaves the state as it is, as one connection ends it.

--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -9,6 +9,7 @@
 #include <edge/quarantinerecords.h>
 #include <edge/relay.h>
 #include <edge/storecalls.h>
+#include <edge/upstreamreach.h>
 #include <edge/storeera.h>
 #include <edge/topics.h>
 #include <granting/grantingconstants.h>
@@ -172,8 +173,12 @@
     Granting::Leadership& leadership = node.leader.leadership;
     if (!leadership.term)
         clearLeaderState(node, "superseded");
+    // Key leases that a VM cut off from the upstreams can't renew would expire for callers of all VMs.
+    if (isReachLost(node))
+        resign(node, "reach_lost");
     const bool mayAcquire = leadership.term
-        || (!node.stopping && node.clusterView.routeTable && node.clusterView.directoryLoaded);
+        || (!node.stopping && !isReachLost(node) && node.clusterView.routeTable
+            && node.clusterView.directoryLoaded);
     if (mayAcquire && Granting::isAppendDue(leadership, leaseAcquisitionJitter(node), at))
         appendLeaseRecord(node);
     if (Granting::holdsLeaderLease(leadership, at))
@@ -239,7 +244,7 @@
     }
 }
 
-void resign(Node& node)
+void resign(Node& node, const char* reason)
 {
     Granting::Leadership& leadership = node.leader.leadership;
     if (!Granting::holdsLeaderLease(leadership, now()) || leadership.pendingAppendSince)
@@ -248,7 +253,7 @@
     parameters.topic = leaderTopic;
     parameters.expectedEnd = *leadership.logEnd;
     Granting::stepDown(leadership);
-    Internal::clearLeaderState(node, "resigned");
+    Internal::clearLeaderState(node, reason);
     Granting::LeaderRecord resignation;
     resignation.settledEra = leadership.self.settledEra;
     callStore(node,
--- a/src/libs/edge/leaderelection.h
+++ b/src/libs/edge/leaderelection.h
@@ -28,6 +28,7 @@
 void applyLoadReport(Node& node, const Granting::LoadReport& report);
 
 /// Stops granting and releases the leader lease, so that another VM can acquire it at once.
-void resign(Node& node);
+/// \param reason is logged.
+void resign(Node& node, const char* reason);
 
 } // namespace Edge
--- a/src/libs/edge/service.cpp
+++ b/src/libs/edge/service.cpp
@@ -162,7 +162,7 @@
             { "callers", service.node.traffic.callerConnections.size() } });
     service.node.stopping = true;
     service.stopRequestedAt = now();
-    resign(service.node);
+    resign(service.node, "resigned");
     checkStopProgress(service);
 }
 
