Hand requests to other VMs while a VM reaches no upstream

A VM that has lost its reach hands each request to another VM, over HTTP on the internal port next to the relay's. That VM sends it to upstreams itself or declines; it never hands it on, so there are no loops. The remaining time, the version of the configuration, the chosen service and the number of attempts left go with it. A VM declines if it reaches no upstream, is full or has an older configuration; then, and if it can't be connected to, nothing was sent and the next one is asked. Once sent, the outcome of a lost call is unknown: only idempotent requests are tried again, within the retry budget and max_attempts. When no VM can help, the request is rejected at once, as not run.

Ruled out: reporting not ready, as more than half of a zone may be cut, in which case the load balancer uses all VMs of the zone; answers by Connection: close alone, as a refused request is a failed attempt for its caller.

With nothing cut no VM opens a connection for it.

--- a/src/libs/edge/callerconnection.h
+++ b/src/libs/edge/callerconnection.h
@@ -37,6 +37,8 @@
     /// Whether a request header has been read and its body has not been read completely.
     bool isReadingBody = false;
     bool keepAlive = true;
+    /// Another VM that forwards requests.
+    bool isPeer = false;
 };
 
 } // namespace Edge
--- a/src/libs/edge/callers.cpp
+++ b/src/libs/edge/callers.cpp
@@ -23,6 +23,9 @@
 /// Timeout for writing a response to a caller.
 constexpr Utils::Duration responseWriteTimeout = std::chrono::seconds(20);
 
+/// Headers that another VM adds to a request that it forwards.
+constexpr std::uint32_t maxForwardingHeaderBytes = 1024;
+
 bool isOpen(const Node& node, const CallerConnection& caller)
 {
     return node.traffic.callerConnections.contains(caller.id);
@@ -134,7 +137,8 @@
 {
     const Routing::CallerLimits limits = Internal::callerLimitsFor(node);
     caller->parser.emplace();
-    caller->parser->header_limit(limits.maxHeaderBytes);
+    caller->parser->header_limit(
+        limits.maxHeaderBytes + (caller->isPeer ? Internal::maxForwardingHeaderBytes : 0));
     caller->parser->body_limit(limits.maxBodyBytes);
     Internal::armTimer(node, caller, limits.idleTimeout + Internal::idleTimeoutMargin);
     http::async_read_header(caller->socket, caller->buffer, *caller->parser,
@@ -157,12 +161,13 @@
         });
 }
 
-void acceptCaller(Node& node, Tcp::socket socket)
+void acceptCaller(Node& node, Tcp::socket socket, bool isPeer)
 {
     const std::uint64_t id = ++node.traffic.lastId;
     configureSocket(socket);
     const std::shared_ptr<CallerConnection> caller
         = std::make_shared<CallerConnection>(id, std::move(socket));
+    caller->isPeer = isPeer;
     node.traffic.callerConnections.emplace(id, caller);
     readRequest(node, caller);
 }
--- a/src/libs/edge/callpool.cpp
+++ b/src/libs/edge/callpool.cpp
@@ -78,7 +78,7 @@
 /// call may safely be sent again. Returns whether it does.
 bool retryOnNewConnection(CallPool& pool, std::uint64_t id, Call& call)
 {
-    const bool canBeRetried = call.request.method() == http::verb::get || !call.requestSent;
+    const bool canBeRetried = call.isRepeatable || !call.requestSent;
     if (!call.usesIdleConnection || !canBeRetried || (call.parser && call.parser->got_some()))
         return false;
     call.usesIdleConnection = false;
@@ -175,7 +175,7 @@
 } // namespace Internal
 
 std::uint64_t startCall(CallPool& pool, const Routing::Endpoint& endpoint, Platform::HttpRequest request,
-    Utils::Duration timeout, CallHandler handler, std::uint64_t maxResponseBytes)
+    Utils::Duration timeout, CallHandler handler, std::uint64_t maxResponseBytes, CallRepetition repetition)
 {
     const std::uint64_t id = ++pool.lastId;
     const std::shared_ptr<Call> call
@@ -183,6 +183,7 @@
     pool.calls.emplace(id, call);
     call->deadline = now() + timeout;
     call->maxResponseBytes = maxResponseBytes;
+    call->isRepeatable = repetition == CallRepetition::IfSafe && call->request.method() == http::verb::get;
     if (Internal::acquireIdleConnection(pool, *call)) {
         Internal::armTimer(pool, id, call, timeout);
         Internal::sendRequest(pool, id, call);
@@ -192,6 +193,12 @@
     return id;
 }
 
+bool isRequestSent(const CallPool& pool, std::uint64_t id)
+{
+    const auto found = pool.calls.find(id);
+    return found != pool.calls.end() && found->second->requestSent;
+}
+
 void cancelCall(CallPool& pool, std::uint64_t id)
 {
     const auto found = pool.calls.find(id);
--- a/src/libs/edge/callpool.h
+++ b/src/libs/edge/callpool.h
@@ -32,12 +32,23 @@
 /// Responses of the store may contain megabytes of records.
 inline constexpr std::uint64_t maxStoreResponseBytes = 8ULL << 20;
 
+/// Whether a call whose connection is lost before a response may be sent again.
+enum class CallRepetition {
+    /// If the request has the method GET.
+    IfSafe,
+    Never,
+};
+
 /// Sends \a request to \a endpoint and calls \a handler once, never before this returns.
 /// \param timeout time until the complete response, including connecting.
 /// \param maxResponseBytes limit of the response's body.
 /// \return the id of the call.
 std::uint64_t startCall(CallPool& pool, const Routing::Endpoint& endpoint, Platform::HttpRequest request,
-    Utils::Duration timeout, CallHandler handler, std::uint64_t maxResponseBytes = maxStoreResponseBytes);
+    Utils::Duration timeout, CallHandler handler, std::uint64_t maxResponseBytes = maxStoreResponseBytes,
+    CallRepetition repetition = CallRepetition::IfSafe);
+
+/// Whether some of the call's request may have reached the other end. False if the call has finished.
+bool isRequestSent(const CallPool& pool, std::uint64_t id);
 
 /// Cancels a call without calling its handler. Does nothing if the call has finished.
 void cancelCall(CallPool& pool, std::uint64_t id);
--- a/src/libs/edge/candidates.cpp
+++ b/src/libs/edge/candidates.cpp
@@ -8,16 +8,6 @@
 /// to 4.
 constexpr double coldUpstreamFactor = 2;
 
-Balancing::Distance distanceTo(const Node& node, const Utils::ZoneId& zone)
-{
-    if (zone == node.settings.zone)
-        return Balancing::Distance::SameZone;
-    const auto found = node.settings.regionByZone.find(zone);
-    const bool sameRegion
-        = found != node.settings.regionByZone.end() && found->second == node.settings.region;
-    return sameRegion ? Balancing::Distance::SameRegion : Balancing::Distance::OtherRegion;
-}
-
 Balancing::Candidate makeCandidate(Node& node, const Routing::DirectoryEntry& entry, Utils::Instant now)
 {
     Balancing::Candidate candidate;
@@ -56,6 +46,16 @@
 
 } // namespace Internal
 
+Balancing::Distance distanceTo(const Node& node, const Utils::ZoneId& zone)
+{
+    if (zone == node.settings.zone)
+        return Balancing::Distance::SameZone;
+    const auto found = node.settings.regionByZone.find(zone);
+    const bool sameRegion
+        = found != node.settings.regionByZone.end() && found->second == node.settings.region;
+    return sameRegion ? Balancing::Distance::SameRegion : Balancing::Distance::OtherRegion;
+}
+
 std::vector<Balancing::Candidate> findCandidates(Node& node, const Exchange& exchange, Utils::Instant now)
 {
     std::vector<Balancing::Candidate> candidates;
--- a/src/libs/edge/candidates.h
+++ b/src/libs/edge/candidates.h
@@ -8,6 +8,9 @@
 
 namespace Edge {
 
+/// Network distance of the availability zone \a zone from this VM.
+Balancing::Distance distanceTo(const Node& node, const Utils::ZoneId& zone);
+
 /// Finds the upstreams that the next attempt of \a exchange may be sent to: the holder of its key, or, for a
 /// service without keys, all usable upstreams that have not been tried.
 std::vector<Balancing::Candidate> findCandidates(Node& node, const Exchange& exchange, Utils::Instant now);
--- a/src/libs/edge/counters.h
+++ b/src/libs/edge/counters.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <balancing/attemptoutcome.h>
+#include <edge/forwardingoutcome.h>
 #include <edge/localresponsereason.h>
 #include <metrics/counterfamily.h>
 #include <metrics/latencyhistogram.h>
@@ -13,11 +14,14 @@
 struct Counters {
     Metrics::CounterFamily<LocalResponseReason, localResponseReasonNames.size()> localResponses;
     Metrics::CounterFamily<Balancing::AttemptOutcome, Balancing::attemptOutcomeNames.size()> attempts;
+    Metrics::CounterFamily<ForwardingOutcome, forwardingOutcomeNames.size()> forwardings;
     Metrics::CounterFamily<Platform::StoreOutcome, Platform::storeOutcomeNames.size()> storeCalls;
     Metrics::CounterFamily<Platform::DecodeError, Platform::decodeErrorNames.size()> decodeErrors;
     Metrics::LatencyHistogram responseLatency;
     Metrics::LatencyHistogram attemptLatency;
     std::uint64_t retries = 0;
+    /// Requests that other VMs have forwarded to this one.
+    std::uint64_t forwardedRequests = 0;
     std::uint64_t callersDisconnected = 0;
     std::uint64_t newConnections = 0;
     std::uint64_t storeReturns = 0;
--- a/src/libs/edge/exchange.h
+++ b/src/libs/edge/exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <edge/forwardedrequest.h>
 #include <edge/guardedtimer.h>
 #include <edge/localresponse.h>
 #include <platform/callerheaders.h>
@@ -9,7 +10,9 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string>
 
 namespace Edge {
 
@@ -49,6 +52,13 @@
     bool mayHaveRun = false;
     /// The upstream connection of the current attempt; 0 if there is none.
     std::uint64_t connectionId = 0;
+    /// Set if another VM has forwarded the request to this one.
+    std::optional<ForwardedRequest> forwarded;
+    /// The call that forwards the request to the VM at \c peer; 0 if there is none.
+    std::uint64_t peerCallId = 0;
+    std::string peer;
+    /// Number of attempts that VM may make.
+    unsigned forwardedAttempts = 0;
     /// Whether the exchange waits for a holder of its key that can serve it.
     bool isWaitingForHolder = false;
     Utils::Instant waitingForHolderSince {};
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -6,6 +6,9 @@
 #include <edge/candidates.h>
 #include <edge/clock.h>
 #include <edge/crashreports.h>
+#include <edge/forwardingheaders.h>
+#include <edge/peerforwarding.h>
+#include <edge/upstreamreach.h>
 #include <edge/exchanges.h>
 #include <edge/requestlog.h>
 #include <edge/upstreams.h>
@@ -66,6 +69,7 @@
     Node& node, const ExchangePtr& exchange, LocalResponseReason reason, Utils::Duration retryAfter)
 {
     abandonAttempt(node, *exchange);
+    abandonForwarding(node, *exchange);
     LocalResponse response;
     response.reason = reason;
     response.mayHaveRun = exchange->mayHaveRun;
@@ -73,7 +77,10 @@
     node.counters.localResponses.add(reason);
     logLocalResponse(*exchange, response, now());
     removeExchange(node, exchange);
-    respondToCaller(node, exchange->callerId, makeLocalResponse(response, exchange->callerHeaders.requestId));
+    HttpResponse httpResponse = makeLocalResponse(response, exchange->callerHeaders.requestId);
+    if (exchange->forwarded)
+        setForwardingOutcome(httpResponse, forwardingOutcomeFor(response), node.settings.zone);
+    respondToCaller(node, exchange->callerId, std::move(httpResponse));
 }
 
 void startNextAttempt(Node& node, const ExchangePtr& exchange);
@@ -148,6 +155,12 @@
                                    : exchange.attemptCount - exchange.unconnectedAttemptCount;
 }
 
+unsigned maxAttemptsFor(const Exchange& exchange)
+{
+    const unsigned allowed = exchange.route->maxAttempts;
+    return exchange.forwarded ? std::min(allowed, exchange.forwarded->maxAttempts) : allowed;
+}
+
 Utils::Duration attemptTimeoutFor(
     const Exchange& exchange, std::size_t candidates, Utils::Duration expected, Utils::Duration timeLeft)
 {
@@ -155,7 +168,7 @@
     // A key has a single holder: another attempt would only move the request to the end of the holder's
     // queue.
     const bool canTryAnother = Routing::isIdempotent(exchange.route->kind)
-        && countedAttempts(exchange) < exchange.route->maxAttempts && candidates > 1;
+        && countedAttempts(exchange) < maxAttemptsFor(exchange) && candidates > 1;
     return canTryAnother && timeLeft - timeout >= expected ? timeout : timeLeft;
 }
 
@@ -163,6 +176,13 @@
 {
     const Utils::Instant at = now();
     const Utils::Duration timeLeft = exchange->deadlineAt - at;
+    const bool needsForwarding = isForwardingNeeded(node, *exchange);
+    if (needsForwarding && forwardToPeer(node, exchange))
+        return;
+    if (needsForwarding || (exchange->forwarded && isReachLost(node))) {
+        respondLocally(node, exchange, LocalResponseReason::Unreachable, defaultRetryAfter);
+        return;
+    }
     if (isHolderMissing(node, *exchange, at)) {
         waitForHolder(node, exchange);
         return;
@@ -239,14 +259,18 @@
     exchange.routeTable = node.clusterView.routeTable;
     if (!exchange.routeTable)
         return LocalResponseReason::NoConfiguration;
+    if (exchange.forwarded && !canServeForwarded(node, *exchange.forwarded))
+        return LocalResponseReason::Unreachable;
     const boost::string_view host = exchange.request[http::field::host];
     const boost::string_view target = exchange.request.target();
     exchange.route = Routing::findRoute(
         *exchange.routeTable, { host.data(), host.size() }, { target.data(), target.size() });
     if (!exchange.route)
         return LocalResponseReason::NoRoute;
-    exchange.service = findService(
-        *exchange.routeTable, Routing::chooseDestination(node.traffic.splitState, *exchange.route).service);
+    const Utils::ServiceId service = exchange.forwarded
+        ? exchange.forwarded->service
+        : Routing::chooseDestination(node.traffic.splitState, *exchange.route).service;
+    exchange.service = findService(*exchange.routeTable, service);
     if (!exchange.service)
         return LocalResponseReason::NoUpstream;
     if (node.traffic.bufferedBodyBytes
@@ -255,8 +279,13 @@
     return std::nullopt;
 }
 
+/// The VM that the caller sent the request to has counted a forwarded one.
 void countRequest(Node& node, const Exchange& exchange)
 {
+    if (exchange.forwarded) {
+        ++node.counters.forwardedRequests;
+        return;
+    }
     Balancing::recordRequest(
         node.traffic.retryBudgets[exchange.service->id], retryAllowanceFor(node), exchange.startedAt);
     if (!exchange.service->keyed || !exchange.callerHeaders.key)
@@ -282,6 +311,8 @@
     recordResponseSize(node, *exchange, response.body().size());
     removeExchange(node, exchange);
     Platform::removeHopByHopFields(response);
+    if (exchange->forwarded)
+        setForwardingOutcome(response, ForwardingOutcome::Delivered, node.settings.zone);
     response.prepare_payload();
     respondToCaller(node, exchange->callerId, std::move(response));
 }
@@ -312,7 +343,7 @@
     context.idempotent = Routing::isIdempotent(exchange.route->kind);
     context.earlierAttemptMayHaveRun = exchange.mayHaveRun;
     context.attemptCount = countedAttempts(exchange);
-    context.maxAttempts = exchange.route->maxAttempts;
+    context.maxAttempts = maxAttemptsFor(exchange);
     context.hasOtherUpstream
         = hasRetryTarget(node, exchange, outcome) && !quarantineLeft(node, exchange.fingerprint);
     context.timeLeft = exchange.deadlineAt - now();
@@ -347,11 +378,17 @@
     exchange->id = ++node.traffic.lastId;
     exchange->callerId = caller.id;
     exchange->callerHeaders = Platform::parseCallerHeaders(request);
+    if (caller.isPeer)
+        exchange->forwarded = takeForwardedRequest(request);
     exchange->request = std::move(request);
     exchange->startedAt = now();
     caller.exchangeId = exchange->id;
     node.traffic.exchanges.emplace(exchange->id, exchange);
     node.traffic.bufferedBodyBytes += exchange->request.body().size();
+    if (caller.isPeer && !exchange->forwarded) {
+        Internal::respondLocally(node, exchange, LocalResponseReason::BadRequest, {});
+        return;
+    }
     if (const std::optional<LocalResponseReason> reason = Internal::findDestination(node, *exchange)) {
         Internal::respondLocally(node, exchange, *reason, Internal::defaultRetryAfter);
         return;
@@ -403,6 +440,43 @@
     }
 }
 
+void handleForwardingOutcome(
+    Node& node, std::uint64_t id, ForwardingOutcome outcome, std::optional<HttpResponse> response)
+{
+    const auto found = node.traffic.exchanges.find(id);
+    if (found == node.traffic.exchanges.end())
+        return;
+    const Internal::ExchangePtr exchange = found->second;
+    exchange->peerCallId = 0;
+    if (outcome != ForwardingOutcome::Delivered)
+        logForwardingOutcome(*exchange, outcome);
+    switch (outcome) {
+    case ForwardingOutcome::Delivered:
+        Internal::deliverResponse(node, exchange, {}, std::move(*response));
+        return;
+    case ForwardingOutcome::NotRun:
+        // An earlier attempt of this VM may have run, which the other one does not know.
+        if (exchange->mayHaveRun)
+            Internal::respondLocally(node, exchange, LocalResponseReason::UpstreamFailed, {});
+        else
+            Internal::deliverResponse(node, exchange, {}, std::move(*response));
+        return;
+    case ForwardingOutcome::Declined:
+    case ForwardingOutcome::NotConnected:
+        Internal::startNextAttempt(node, exchange);
+        return;
+    case ForwardingOutcome::Unknown:
+        break;
+    }
+    exchange->mayHaveRun = true;
+    exchange->attemptCount += exchange->forwardedAttempts;
+    if (Internal::chooseNextStep(node, *exchange, Balancing::AttemptOutcome::TimedOut)
+        == Balancing::NextStep::Retry)
+        Internal::startNextAttempt(node, exchange);
+    else
+        Internal::respondLocally(node, exchange, LocalResponseReason::UpstreamFailed, {});
+}
+
 bool isRetriedAfterTimeout(Node& node, std::uint64_t id)
 {
     const auto found = node.traffic.exchanges.find(id);
@@ -424,6 +498,7 @@
     const Internal::ExchangePtr exchange = found->second;
     logCallerDisconnected(*exchange, now());
     abandonAttempt(node, *exchange);
+    abandonForwarding(node, *exchange);
     Internal::removeExchange(node, exchange);
 }
 
--- a/src/libs/edge/exchanges.h
+++ b/src/libs/edge/exchanges.h
@@ -2,6 +2,7 @@
 
 #include <balancing/attemptoutcome.h>
 #include <edge/exchange.h>
+#include <edge/forwardingoutcome.h>
 #include <edge/node.h>
 #include <platform/serverheaders.h>
 
@@ -18,6 +19,11 @@
 void handleAttemptOutcome(Node& node, std::uint64_t exchangeId, Balancing::AttemptOutcome outcome,
     std::optional<HttpResponse> response);
 
+/// Handles what became of a request at another VM: delivers the response, tries another VM or responds with
+/// an error. \param response the other VM's response, if it is one for the caller.
+void handleForwardingOutcome(
+    Node& node, std::uint64_t exchangeId, ForwardingOutcome outcome, std::optional<HttpResponse> response);
+
 /// Whether the request would be retried if its attempt ended as timed out now. If not, its upstream may as
 /// well go on until the deadline.
 bool isRetriedAfterTimeout(Node& node, std::uint64_t id);
--- a/src/libs/edge/localresponsereason.h
+++ b/src/libs/edge/localresponsereason.h
@@ -18,6 +18,8 @@
     MemoryLimitReached,
     /// No usable upstream of the service is known.
     NoUpstream,
+    /// This VM reaches no upstream, and no other VM can send the request to one.
+    Unreachable,
     /// The request's key has no holder that can serve it.
     KeyWithoutHolder,
     /// Admission control: the response is not expected in time.
@@ -32,7 +34,7 @@
     PoisonQuarantined,
 };
 
-inline constexpr std::array<Utils::EnumName<LocalResponseReason>, 13> localResponseReasonNames { {
+inline constexpr std::array<Utils::EnumName<LocalResponseReason>, 14> localResponseReasonNames { {
     { LocalResponseReason::NoConfiguration, "no_configuration" },
     { LocalResponseReason::NoRoute, "no_route" },
     { LocalResponseReason::BadRequest, "bad_request" },
@@ -40,6 +42,7 @@
     { LocalResponseReason::BodyTooLarge, "body_too_large" },
     { LocalResponseReason::MemoryLimitReached, "memory_full" },
     { LocalResponseReason::NoUpstream, "no_upstream" },
+    { LocalResponseReason::Unreachable, "upstreams_unreachable" },
     { LocalResponseReason::KeyWithoutHolder, "key_without_holder" },
     { LocalResponseReason::Overload, "overload" },
     { LocalResponseReason::RejectedByUpstreams, "upstreams_refused" },
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -55,6 +55,10 @@
         localResponseReasonNames, counters.localResponses);
     Metrics::writeFamily(text, "crocus_attempts_total", "Attempts at upstreams", "end",
         Balancing::attemptOutcomeNames, counters.attempts);
+    Metrics::writeFamily(text, "crocus_forwardings_total", "Requests handed to other VMs", "end",
+        forwardingOutcomeNames, counters.forwardings);
+    Internal::writeSingleSample(text, "crocus_forwarded_requests_total", "counter",
+        "Requests that other VMs handed to this one", static_cast<double>(counters.forwardedRequests));
     Metrics::writeFamily(text, "crocus_store_calls_total", "Calls to the platform's store", "outcome",
         Platform::storeOutcomeNames, counters.storeCalls);
     Metrics::writeFamily(text, "crocus_decode_errors_total", "Records that could not be used", "error",
--- a/src/libs/edge/node.h
+++ b/src/libs/edge/node.h
@@ -7,6 +7,7 @@
 #include <edge/crashreporting.h>
 #include <edge/topicfollowers.h>
 #include <edge/leaderstate.h>
+#include <edge/peerforwardingstate.h>
 #include <edge/quarantinestate.h>
 #include <edge/reachprobing.h>
 #include <edge/relaystate.h>
@@ -60,6 +61,7 @@
     boost::asio::steady_timer loadReportTimer;
     CrashReporting crashReporting;
     ReachProbing reachProbing;
+    PeerForwardingState forwarding;
     QuarantineRecords quarantineRecords;
     /// A stop was requested: connections of callers are closed as their requests finish.
     bool stopping = false;
--- a/src/libs/edge/requestlog.cpp
+++ b/src/libs/edge/requestlog.cpp
@@ -37,6 +37,22 @@
             { "config", exchange.routeTable->configuration.version }, { "assignment", version } });
 }
 
+void logRequestForwarded(const Exchange& exchange, Utils::Duration timeLeft)
+{
+    Logging::write(Logging::Level::Info, "request_forwarded",
+        { { "request", exchange.callerHeaders.requestId.value }, { "route", exchange.route->name },
+            { "peer", exchange.peer }, { "attempts_before", exchange.attemptCount },
+            { "attempts_given", exchange.forwardedAttempts }, { "left_ms", Utils::toMilliseconds(timeLeft) },
+            { "config", exchange.routeTable->configuration.version } });
+}
+
+void logForwardingOutcome(const Exchange& exchange, ForwardingOutcome outcome)
+{
+    Logging::write(Logging::Level::Info, "forwarding_ended",
+        { { "request", exchange.callerHeaders.requestId.value }, { "peer", exchange.peer },
+            { "end", Utils::enumName(forwardingOutcomeNames, outcome) } });
+}
+
 void logAttemptOutcome(const Exchange& exchange, const Utils::UpstreamId& upstream,
     Balancing::AttemptOutcome outcome, Balancing::NextStep step)
 {
--- a/src/libs/edge/requestlog.h
+++ b/src/libs/edge/requestlog.h
@@ -3,6 +3,7 @@
 #include <balancing/attemptoutcome.h>
 #include <balancing/nextstep.h>
 #include <edge/exchange.h>
+#include <edge/forwardingoutcome.h>
 #include <edge/node.h>
 
 /// Log lines that trace a request by its id.
@@ -16,6 +17,12 @@
 void logRequestSent(
     const Node& node, const Exchange& exchange, const Utils::UpstreamId& upstream, Utils::Duration expected);
 
+/// Logs that the request is handed to another VM.
+void logRequestForwarded(const Exchange& exchange, Utils::Duration timeLeft);
+
+/// Logs what became of a request at another VM, if that was no upstream's response.
+void logForwardingOutcome(const Exchange& exchange, ForwardingOutcome outcome);
+
 /// Logs an attempt whose outcome is not Responded, and the next step.
 void logAttemptOutcome(const Exchange& exchange, const Utils::UpstreamId& upstream,
     Balancing::AttemptOutcome outcome, Balancing::NextStep step);
--- a/src/libs/edge/service.cpp
+++ b/src/libs/edge/service.cpp
@@ -4,6 +4,7 @@
 #include <edge/topicfollowing.h>
 #include <edge/leaderelection.h>
 #include <edge/metricspage.h>
+#include <edge/peerforwarding.h>
 #include <edge/relay.h>
 #include <edge/loadreporting.h>
 #include <edge/service.h>
@@ -106,25 +107,32 @@
     startFollowing(node, followers.leader);
 }
 
-void acceptNextCaller(Service& service)
+void acceptNext(Service& service, Tcp::acceptor& acceptor, bool isPeer)
 {
-    service.callerAcceptor.async_accept([&service](const ErrorCode& error, Tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted || !service.callerAcceptor.is_open())
+    acceptor.async_accept([&service, &acceptor, isPeer](const ErrorCode& error, Tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted || !acceptor.is_open())
             return;
         if (!error)
-            acceptCaller(service.node, std::move(socket));
-        acceptNextCaller(service);
+            acceptCaller(service.node, std::move(socket), isPeer);
+        acceptNext(service, acceptor, isPeer);
     });
 }
 
+void listenOn(Service& service, Tcp::acceptor& acceptor, const Tcp::endpoint& endpoint, bool isPeer)
+{
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen();
+    acceptNext(service, acceptor, isPeer);
+}
+
 void listenForCallers(Service& service)
 {
-    const Tcp::endpoint endpoint = toTcpEndpoint(service.node.settings.callerEndpoint);
-    service.callerAcceptor.open(endpoint.protocol());
-    service.callerAcceptor.set_option(Tcp::acceptor::reuse_address(true));
-    service.callerAcceptor.bind(endpoint);
-    service.callerAcceptor.listen();
-    acceptNextCaller(service);
+    const Routing::VmSettings& settings = service.node.settings;
+    listenOn(service, service.callerAcceptor, toTcpEndpoint(settings.callerEndpoint), false);
+    if (const std::uint16_t port = forwardingPort(settings))
+        listenOn(service, service.peerAcceptor, toTcpEndpoint({ settings.address, port }), true);
 }
 
 void checkStopProgress(Service& service)
@@ -135,6 +143,7 @@
         node.closing = true;
         ErrorCode ignored;
         service.callerAcceptor.close(ignored);
+        service.peerAcceptor.close(ignored);
     }
     if (node.closing)
         closeIdleCallers(node);
--- a/src/libs/edge/service.h
+++ b/src/libs/edge/service.h
@@ -15,6 +15,7 @@
     Service(boost::asio::io_context& context, Routing::VmSettings settings, Utils::Incarnation incarnation)
         : node(context, std::move(settings), incarnation)
         , callerAcceptor(context)
+        , peerAcceptor(context)
         , readinessServer(context)
         , metricsServer(context)
         , stopTimer(context)
@@ -25,6 +26,8 @@
 
     Node node;
     Tcp::acceptor callerAcceptor;
+    /// For requests that other VMs forward.
+    Tcp::acceptor peerAcceptor;
     StatusServer readinessServer;
     StatusServer metricsServer;
     boost::asio::steady_timer stopTimer;
--- a/src/libs/edge/upstreamreach.cpp
+++ b/src/libs/edge/upstreamreach.cpp
@@ -1,5 +1,6 @@
 #include <edge/clock.h>
 #include <edge/upstreamreach.h>
+#include <edge/upstreams.h>
 #include <logging/log.h>
 
 #include <algorithm>
@@ -30,6 +31,7 @@
 {
     ++node.reachProbing.losses;
     logReachLost(node);
+    endAttemptsAfterReachLoss(node);
 }
 
 void handleReachRegained(Utils::Instant lostAt)
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -397,6 +397,24 @@
     Internal::closeConnection(node, *connection);
 }
 
+void endAttemptsAfterReachLoss(Node& node)
+{
+    std::vector<Internal::ConnectionPtr> active;
+    for (auto it = node.traffic.upstreamConnections.begin(); it != node.traffic.upstreamConnections.end();
+         ++it) {
+        if (it->second->exchangeId != 0)
+            active.push_back(it->second);
+    }
+    for (const Internal::ConnectionPtr& connection : active) {
+        if (!Internal::isOpen(node, *connection) || connection->exchangeId == 0)
+            continue;
+        if (!connection->requestHandedOver)
+            Internal::endAttempt(node, connection, Balancing::AttemptOutcome::NotConnected);
+        else if (isRetriedAfterTimeout(node, connection->exchangeId))
+            Internal::endAttempt(node, connection, Balancing::AttemptOutcome::TimedOut);
+    }
+}
+
 void closeIdleUpstreamConnections(Node& node, const Utils::UpstreamId& upstream)
 {
     const std::vector<std::uint64_t> idle = node.traffic.upstreamStates[upstream].idleConnectionIds;
--- a/src/libs/edge/upstreams.h
+++ b/src/libs/edge/upstreams.h
@@ -14,6 +14,9 @@
 /// Aborts the attempt in flight by closing its connection, so that the upstream cancels the request.
 void abandonAttempt(Node& node, Exchange& exchange);
 
+/// Ends attempts that can go by way of another VM, after this one has lost its reach.
+void endAttemptsAfterReachLoss(Node& node);
+
 /// Closes the idle connections to \a upstream.
 void closeIdleUpstreamConnections(Node& node, const Utils::UpstreamId& upstream);
 
--- a/src/libs/platform/headers.cpp
+++ b/src/libs/platform/headers.cpp
@@ -106,6 +106,11 @@
     HttpFields& fields, const Utils::UpstreamId& upstream, Utils::Duration remainingTime)
 {
     Internal::setField(fields, Internal::expectedServerHeader, upstream.value);
+    setRemainingTime(fields, remainingTime);
+}
+
+void setRemainingTime(HttpFields& fields, Utils::Duration remainingTime)
+{
     Internal::setField(fields, Internal::deadlineHeader,
         std::to_string(std::max<std::int64_t>(Utils::toMilliseconds(remainingTime), 1)));
 }
--- a/src/libs/platform/headers.h
+++ b/src/libs/platform/headers.h
@@ -27,6 +27,9 @@
 void setForwardingHeaders(
     HttpFields& fields, const Utils::UpstreamId& upstream, Utils::Duration remainingTime);
 
+/// Sets the remaining time on a request; it is sent as at least 1 ms.
+void setRemainingTime(HttpFields& fields, Utils::Duration remainingTime);
+
 /// Sets the request's id on a local response. Does nothing if \a id is empty.
 void setRequestId(HttpFields& fields, const Utils::RequestId& id);
 
--- a/tests/auto/edge/testenvironment.cpp
+++ b/tests/auto/edge/testenvironment.cpp
@@ -114,6 +114,7 @@
     settings.callerEndpoint = { settings.address, callersPort };
     settings.readinessEndpoint = { settings.address, readinessPort };
     settings.firstInternalPort = internalPort;
+    settings.lastInternalPort = internalPort + 5;
     settings.storeEndpoint = { uniqueLoopbackAddress(0), storeIsRemote ? remoteStorePort : storePort };
     environment.vms.push_back(
         std::make_unique<Edge::Service>(environment.context, settings, 1000 + environment.vms.size()));
