Count failed grants as evidence of a lost reach

A leader whose callers are idle did not notice that it reaches no upstream: only the attempts of requests counted. Its key leases expired for callers of all VMs.

Failed grant calls count now like failed attempts. Silent holders fail again every 300 ms, so they may raise a suspicion each second until the store drops them: three connections a second, none when nothing fails.

edge.unreachingleader, new case: no other VM led within 4 s before, one does now.

--- a/src/libs/edge/grantcalls.cpp
+++ b/src/libs/edge/grantcalls.cpp
@@ -70,9 +70,12 @@
     const Utils::Duration timeout
         = action.kind == GrantAction::Kind::Grant ? Granting::grantTimeout : releaseTimeout;
     const std::uint64_t term = *node.leader.leadership.term;
+    const Utils::Instant startedAt = now();
     startCall(
         node.calls, upstreamEndpoint(node, endpoint), makeRequest(action, endpoint), timeout,
-        [&node, action, term](const CallResponse& response) {
+        [&node, action, term, startedAt](const CallResponse& response) {
+            if (response.outcome != CallOutcome::Responded)
+                recordUpstreamLinkFailure(node, action.upstream, startedAt);
             if (node.leader.leadership.term == term)
                 handleGrantResponse(node, action, response);
         },
--- a/tests/auto/edge/tst_unreachingleader.cpp
+++ b/tests/auto/edge/tst_unreachingleader.cpp
@@ -75,6 +75,23 @@
     CHECK(isLeading(second));
 }
 
+TEST_CASE("A leader without requests of its own notices by its grants that it reaches no upstream",
+    "[unreachingleader]")
+{
+    TestEnvironment environment;
+    for (const char* id : { "k-1", "k-2", "k-3", "k-4" })
+        addUpstream(environment, id, "keyed", true);
+    Edge::Service& first = startReadyVm(environment);
+    REQUIRE(runUntil(environment, [&] { return holdAnyKeys(environment); }));
+    Edge::Service& second = startVm(environment);
+    REQUIRE(runUntil(environment, [&] { return second.node.relay.isSubscribed && isLeading(first); }));
+    first.node.settings.upstreamPortOffset = unusedPortOffset;
+    first.node.calls.idleConnections.clear();
+    CHECK(runUntil(
+        environment, [&second] { return isLeading(second); }, 4000ms));
+    CHECK(holdAnyKeys(environment));
+}
+
 TEST_CASE("A VM that reaches no upstream does not take a free lease", "[unreachingleader]")
 {
     TestEnvironment environment;
