--- a/src/libs/granting/granter.cpp
+++ b/src/libs/granting/granter.cpp
@@ -30,7 +30,7 @@
     Granter& granter, const Routing::KeySpan& span, const Utils::UpstreamId& upstream)
 {
     for (PossibleHolder& holder : granter.possibleHolders) {
-        if (holder.span == span && holder.upstream == upstream)
+        if (holder.span == span && holder.grantedSpan == span && holder.upstream == upstream)
             return holder;
     }
     granter.possibleHolders.push_back({ span, span, upstream, 0, {}, {} });
--- a/tests/auto/granting/tst_lategrant.cpp
+++ b/tests/auto/granting/tst_lategrant.cpp
@@ -53,6 +53,36 @@
     CHECK(isGrantedToOther(granter, ended + lease + grantRetryInterval));
 }
 
+TEST_CASE("A hold that a release has split ends when its upstream does not respond any more", "[lategrant]")
+{
+    const Utils::Duration movedAfter = GENERATE(Utils::Duration(100ms), keyLeaseRenewalInterval);
+    Granter granter = makeConfirmedGranter();
+    Utils::Instant at = start + movedAfter;
+    constexpr std::uint16_t middle = 50000;
+    applyWrittenRecord(granter,
+        makeNextRecord(granter,
+            std::vector<KeyPlacement> {
+                { lower, one }, { { upper.first, middle - 1 }, two }, { { middle, upper.last }, one } }));
+    // The upstream releases a part and renews the rest for some seconds. Then it is gone.
+    const auto tick = [&](Utils::Duration step, GrantOutcome outcomeOfTwo) {
+        at += step;
+        bool isUpperGranted = false;
+        for (const GrantAction& action : collectDueActions(granter, keyLeaseDuration, at)) {
+            const bool isToOne = action.upstream == one;
+            isUpperGranted = isUpperGranted || (isToOne && Routing::contains(action.span, upper.first));
+            recordGrantOutcome(
+                granter, action, isToOne ? GrantOutcome::Accepted : outcomeOfTwo, "", at + 10ms);
+        }
+        return isUpperGranted;
+    };
+    for (int renewal = 0; renewal < 60; ++renewal)
+        tick(100ms, GrantOutcome::Accepted);
+    moveUpperKeys(granter);
+    const Utils::Instant gone = at;
+    while (at - gone < 10s && !tick(100ms, GrantOutcome::Unknown)) { }
+    CHECK(at - gone < keyLeaseDuration + 1s);
+}
+
 TEST_CASE("A hold that a release has split ends with the grant that was in flight", "[lategrant]")
 {
     Granter granter = makeConfirmedGranter();
