Keep a hold whose grant is in flight when a release is answered

Keys could be held by two upstreams at once (OWNER), found by the review: a release was taken to undo grants with lower tokens that are still in flight. An upstream that restarts between its answer and the arrival of such a grant knows no tokens and takes the keys; they had been granted to another one at once.

The hold stays until the call of the grant has ended, by response or abort, and the next release ends it: 500 ms and a round trip at most.

granting.laterelease, new case, failed before (2 checks), passes now.

--- a/src/libs/granting/granter.cpp
+++ b/src/libs/granting/granter.cpp
@@ -37,13 +37,13 @@
     return granter.possibleHolders.back();
 }
 
-bool isGrantInFlight(const PossibleHolder& holder) { return holder.pendingLeaseExpiry != Utils::Instant {}; }
-
 Utils::Instant latestExpiry(const PossibleHolder& holder)
 {
     return std::max(holder.leaseExpiry, holder.pendingLeaseExpiry);
 }
 
+bool isGrantInFlight(const PossibleHolder& holder) { return holder.pendingLeaseExpiry != Utils::Instant {}; }
+
 PossibleHolder withSpan(PossibleHolder holder, std::uint16_t first, std::uint16_t last)
 {
     holder.span = { first, last };
@@ -51,13 +51,14 @@
 }
 
 /// Records that an upstream has carried out \a release: it holds no keys of the span by grants with a lower
-/// token. It may have been granted some again since, as the response waits for running requests.
+/// token. It may have been granted some again since, as the response waits for running requests, and a grant
+/// in flight may reach a process that has started since and knows no tokens.
 void removeReleasedHolds(Granter& granter, const GrantAction& release)
 {
     std::vector<PossibleHolder> remaining;
     for (const PossibleHolder& holder : granter.possibleHolders) {
         const bool isReleased = holder.upstream == release.upstream && overlap(holder.span, release.span)
-            && holder.token < release.token;
+            && holder.token < release.token && !isGrantInFlight(holder);
         if (!isReleased) {
             remaining.push_back(holder);
             continue;
--- a/tests/auto/granting/tst_laterelease.cpp
+++ b/tests/auto/granting/tst_laterelease.cpp
@@ -41,6 +41,40 @@
     CHECK(findAction(third, GrantAction::Kind::Release, two));
 }
 
+TEST_CASE("A release does not end a hold whose grant is still in flight", "[laterelease]")
+{
+    // The former process has carried out the release. The upstream restarts, and the grant that was sent
+    // before the release arrives at the new process, which knows no tokens.
+    Granter granter = makeConfirmedGranter();
+    const Utils::Instant at = start + keyLeaseRenewalInterval;
+    const std::vector<GrantAction> renewals = collectDueActions(granter, keyLeaseDuration, at);
+    const GrantAction* const renewal = findAction(renewals, GrantAction::Kind::Grant, two);
+    REQUIRE(renewal);
+    constexpr std::uint16_t middle = 50000;
+    applyWrittenRecord(granter,
+        makeNextRecord(granter,
+            std::vector<KeyPlacement> {
+                { lower, one }, { { upper.first, middle - 1 }, two }, { { middle, upper.last }, one } }));
+    const auto isMoved = [&](Utils::Instant when) {
+        bool isGranted = false;
+        for (const GrantAction& action : collectDueActions(granter, keyLeaseDuration, when)) {
+            isGranted = isGranted
+                || (action.kind == GrantAction::Kind::Grant && action.upstream == one
+                    && Routing::contains(action.span, upper.last));
+            recordGrantOutcome(granter, action, GrantOutcome::Accepted, "", when);
+        }
+        return isGranted;
+    };
+    // Sends a release, which is accepted.
+    CHECK_FALSE(isMoved(at + 20ms));
+    CHECK_FALSE(isMoved(at + 40ms));
+    recordRestart(granter, two);
+    recordGrantOutcome(granter, *renewal, GrantOutcome::Accepted, "", at + 400ms);
+    // The new process has to release the keys.
+    CHECK_FALSE(isMoved(at + 400ms));
+    CHECK(isMoved(at + 800ms));
+}
+
 TEST_CASE("The response to a release ends the leases of the grants sent before it", "[laterelease]")
 {
     Granter granter = makeConfirmedGranter();
