Grant keys whose release is not needed any more without its response

Found by the review; keys without a holder: a release that a hanging holder leaves without a response blocked the grant for up to 3 s after the holder's lease had expired, and a plan that gives the keys back to the same holder waited as long.

Only a release that is still needed holds up the grant. The last call of a segment is told by its kind and token, so that a late response to the release does not let a second grant start.

--- a/src/libs/granting/granter.cpp
+++ b/src/libs/granting/granter.cpp
@@ -100,9 +100,17 @@
     return granter.assignment.term * tokensPerTerm + granter.tokensUsed;
 }
 
-bool isDue(const SentAction& sent, Utils::Duration interval, Utils::Instant now)
+/// \param needsRelease another upstream may hold keys of the segment.
+bool isDue(const SentAction& sent, bool needsRelease, Utils::Duration interval, Utils::Instant now)
 {
-    return !sent.isAwaitingResponse && now - sent.sentAt >= interval;
+    // A release that is not needed any more does not hold up the grant: its holder may hang.
+    const bool isBlocked = sent.isAwaitingResponse && (sent.kind == GrantAction::Kind::Grant || needsRelease);
+    return !isBlocked && now - sent.sentAt >= interval;
+}
+
+bool isLastSent(const SentAction& sent, const GrantAction& action)
+{
+    return sent.kind == action.kind && sent.token == action.token;
 }
 
 GrantAction makeRelease(Granter& granter, const Segment& segment, const PossibleHolder& holder)
@@ -249,7 +257,8 @@
     if (!handover.empty())
         granter.handovers[action.segmentFirstKey] = handover;
     // The released keys are granted without waiting for the retry interval.
-    sent.sentAt = {};
+    if (isLastSent(sent, action))
+        sent.sentAt = {};
 }
 
 /// Returns how many holders may be unresponsive before the leader's own link is the more likely cause.
@@ -325,14 +334,16 @@
         SentAction& sent = granter.sentActions[segment.span.first];
         const bool needsOnlyRenewal
             = segment.isConfirmed && !granter.unresponsiveSince.contains(segment.holder);
-        if (segment.holder.value.empty() || granter.terminatedUpstreams.contains(segment.holder)
-            || !Internal::isDue(sent, needsOnlyRenewal ? keyLeaseRenewalInterval : grantRetryInterval, now))
+        if (segment.holder.value.empty() || granter.terminatedUpstreams.contains(segment.holder))
             continue;
         const PossibleHolder* otherHolder
             = segment.isConfirmed ? nullptr : Internal::findOtherPossibleHolder(granter, segment);
+        if (!Internal::isDue(sent, otherHolder != nullptr,
+                needsOnlyRenewal ? keyLeaseRenewalInterval : grantRetryInterval, now))
+            continue;
         actions.push_back(otherHolder ? Internal::makeRelease(granter, segment, *otherHolder)
                                       : Internal::makeGrant(granter, segment, keyLease, now));
-        sent = { now, true };
+        sent = { now, actions.back().kind, actions.back().token, true };
     }
     return actions;
 }
@@ -341,7 +352,8 @@
     const std::string& handover, Utils::Instant now)
 {
     SentAction& sent = granter.sentActions[action.segmentFirstKey];
-    sent.isAwaitingResponse = false;
+    if (Internal::isLastSent(sent, action))
+        sent.isAwaitingResponse = false;
     if (outcome == GrantOutcome::Accepted || outcome == GrantOutcome::FencedOff)
         granter.unresponsiveSince.erase(action.upstream);
     else
