Do not take a late response from a former address for the end of an upstream

By then the directory had the new address, and the holds and the entry of the new process were dropped.

The response counts only if the upstream is still registered at the address that was called.

edge.addressreuse failed before (3 checks), passes now. Reports of other VMs carry no address; their offset guards them.

--- a/src/libs/edge/addressreuse.cpp
+++ b/src/libs/edge/addressreuse.cpp
@@ -6,10 +6,12 @@
 
 namespace Edge {
 
-void recordAddressReuse(Node& node, const Utils::UpstreamId& upstream, const Utils::UpstreamId& other)
+void recordAddressReuse(Node& node, const Utils::UpstreamId& upstream, const Routing::Endpoint& endpoint,
+    const Utils::UpstreamId& other)
 {
     const auto found = node.clusterView.directory.entries.find(upstream);
-    if (found == node.clusterView.directory.entries.end() || found->second.isExpired)
+    if (found == node.clusterView.directory.entries.end() || found->second.isExpired
+        || found->second.record.endpoint != endpoint)
         return;
     const Utils::Offset offset = found->second.offset;
     Logging::write(Logging::Level::Warning, "upstream_displaced",
--- a/src/libs/edge/grantcalls.cpp
+++ b/src/libs/edge/grantcalls.cpp
@@ -41,7 +41,8 @@
         endpoint, action.upstream, { action.span, action.token, action.keyLease, action.handover });
 }
 
-void handleGrantResponse(Node& node, const GrantAction& action, const CallResponse& response)
+void handleGrantResponse(
+    Node& node, const GrantAction& action, const Routing::Endpoint& endpoint, const CallResponse& response)
 {
     const auto granter = node.leader.granters.find(action.service);
     if (granter == node.leader.granters.end())
@@ -50,7 +51,7 @@
     const Platform::ServerHeaders serverHeaders
         = Platform::parseServerHeaders(response.status, response.fields);
     if (!serverHeaders.server.value.empty() && serverHeaders.server != action.upstream)
-        recordAddressReuse(node, action.upstream, serverHeaders.server);
+        recordAddressReuse(node, action.upstream, endpoint, serverHeaders.server);
     const bool confirmsHolder
         = Granting::recordGrantOutcome(granter->second, action, outcome, serverHeaders.handover, now());
     const bool isRenewal
@@ -63,7 +64,7 @@
 {
     const auto entry = node.clusterView.directory.entries.find(action.upstream);
     if (entry == node.clusterView.directory.entries.end()) {
-        handleGrantResponse(node, action, {});
+        handleGrantResponse(node, action, {}, {});
         return;
     }
     const Routing::Endpoint endpoint = entry->second.record.endpoint;
@@ -73,11 +74,11 @@
     const Utils::Instant startedAt = now();
     startCall(
         node.calls, upstreamEndpoint(node, endpoint), makeRequest(action, endpoint), timeout,
-        [&node, action, term, startedAt](const CallResponse& response) {
+        [&node, action, endpoint, term, startedAt](const CallResponse& response) {
             if (response.outcome != CallOutcome::Responded)
                 recordUpstreamLinkFailure(node, action.upstream, startedAt);
             if (node.leader.leadership.term == term)
-                handleGrantResponse(node, action, response);
+                handleGrantResponse(node, action, endpoint, response);
         },
         maxGrantResponseBytes);
 }
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -217,7 +217,7 @@
     keepOrCloseConnection(
         node, connection, canKeepAlive, serverHeaders.keepAliveTimeout.value_or(defaultKeepAliveTimeout));
     if (outcome == AttemptOutcome::Misdirected && isFromOtherUpstream(serverHeaders, connection->upstream))
-        recordAddressReuse(node, connection->upstream, serverHeaders.server);
+        recordAddressReuse(node, connection->upstream, connection->endpoint, serverHeaders.server);
     if (isForOtherRequest)
         finishAttempt(node, connection, outcome);
     else
