Reset calls in flight when the process ends

Keys could be held by two upstreams at once (OWNER), found by the review: a call was reset at its timeout only. When the leader is killed while a partition holds up a grant, the kernel closes the connection normally and delivers the grant when the links are back; its lease counts from then, and its holder may have been replaced.

Connections of calls discard unsent data on every close now.

edge.callpool failed before (end of file instead of a reset), passes now.

--- a/src/libs/edge/callpool.cpp
+++ b/src/libs/edge/callpool.cpp
@@ -66,10 +66,7 @@
     startTimer(call->timer, timeout, [&pool, id, call] {
         if (!isPending(pool, id))
             return;
-        ErrorCode ignored;
         closeIdleConnections(pool, call->endpoint);
-        // SO_LINGER with timeout 0 discards unsent data: a call that has timed out must not arrive later.
-        call->socket.set_option(Tcp::socket::linger(true, 0), ignored);
         failCall(pool, id, call->requestSent ? CallOutcome::TimedOut : CallOutcome::NotConnected);
     });
 }
@@ -149,6 +146,8 @@
             return;
         }
         configureSocket(call->socket);
+        // A call that has ended must not arrive later, also if the process is killed.
+        discardUnsentDataOnClose(call->socket);
         armTimer(pool, id, call, call->deadline - now());
         sendRequest(pool, id, call);
     });
--- a/src/libs/edge/sockets.cpp
+++ b/src/libs/edge/sockets.cpp
@@ -36,6 +36,13 @@
     Internal::setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, Internal::maxUnacknowledgedMs);
 }
 
+void discardUnsentDataOnClose(Tcp::socket& socket)
+{
+    // The socket's own option is withdrawn by its destructor.
+    const linger option { 1, 0 };
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 Tcp::endpoint toTcpEndpoint(const Routing::Endpoint& endpoint)
 {
     return { boost::asio::ip::make_address(endpoint.address), endpoint.port };
--- a/src/libs/edge/sockets.h
+++ b/src/libs/edge/sockets.h
@@ -16,6 +16,10 @@
 /// without delay.
 void configureSocket(Tcp::socket& socket);
 
+/// Makes every close of \a socket, also by the end of the process, reset the connection and discard data that
+/// has not been sent.
+void discardUnsentDataOnClose(Tcp::socket& socket);
+
 Tcp::endpoint toTcpEndpoint(const Routing::Endpoint& endpoint);
 
 /// Whether the peer of an idle connection has closed it or sent unexpected data.
