Move decisions after a store's return to granting

Cause: the model of two leaders can only run the production decisions if they are free of the node: what a VM knows of the lost assignments, its settled era, the time of the first grant and which of memory and store counts (granting/storereturn). Edge calls them; it still finds out whether it is linked to the leader, and logs.

No change of behaviour.

--- a/src/libs/edge/assignmentrecords.cpp
+++ b/src/libs/edge/assignmentrecords.cpp
@@ -8,6 +8,7 @@
 #include <edge/storeera.h>
 #include <edge/topics.h>
 #include <granting/recordcodec.h>
+#include <granting/storereturn.h>
 #include <logging/log.h>
 
 #include <boost/leaf.hpp>
@@ -87,27 +88,6 @@
     }
 }
 
-/// Replaces assignments in \a stored by newer ones that this VM knows: the store may have returned from a
-/// copy that lacks them. Returns the services for which it does.
-std::set<Utils::ServiceId> replaceByNewerInMemory(
-    const Node& node, std::map<Utils::ServiceId, Granting::KeyAssignment>& stored)
-{
-    std::set<Utils::ServiceId> replaced;
-    const std::map<Utils::ServiceId, Granting::KeyAssignment>& known = node.clusterView.assignments;
-    for (auto it = known.begin(); it != known.end(); ++it) {
-        const Granting::KeyAssignment& assignment = it->second;
-        const auto found = stored.find(it->first);
-        const bool isNewer = found == stored.end()
-            || std::pair(assignment.term, assignment.version)
-                > std::pair(found->second.term, found->second.version);
-        if (!isNewer || assignment.segments.empty())
-            continue;
-        stored[it->first] = assignment;
-        replaced.insert(it->first);
-    }
-    return replaced;
-}
-
 /// Applies assignments that were read from the store. Until the first write of this leader has succeeded, the
 /// granters are initialized from them, as an earlier read may have been stale. After that the granters are
 /// authoritative: a differing record is either a write of this leader whose outcome was unknown, or a delayed
@@ -115,7 +95,8 @@
 void applyStoredAssignments(Node& node, const Platform::StorePage& page)
 {
     std::map<Utils::ServiceId, Granting::KeyAssignment> stored = decodeAssignments(page);
-    const std::set<Utils::ServiceId> newerInMemory = replaceByNewerInMemory(node, stored);
+    const std::set<Utils::ServiceId> newerInMemory
+        = Granting::replaceByNewer(stored, node.clusterView.assignments);
     node.leader.assignmentTopicEnd = page.endOffset;
     node.leader.rereadNeeded = false;
     for (auto it = stored.begin(); it != stored.end(); ++it) {
--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -14,6 +14,7 @@
 #include <edge/topics.h>
 #include <granting/grantingconstants.h>
 #include <granting/recordcodec.h>
+#include <granting/storereturn.h>
 #include <logging/log.h>
 #include <utils/hash.h>
 
@@ -58,23 +59,11 @@
     node.leader.assignmentTopicEnd.reset();
 }
 
-/// Decides whether this VM, which is about to acquire the lease, knows all assignments that may be in force.
-void updateSettledEra(Node& node)
-{
-    LeaderState& leader = node.leader;
-    Granting::Leadership& leadership = leader.leadership;
-    const bool isSettled = !leadership.lastRecord || leadership.lastRecord->settledEra == leadership.storeEra
-        || leader.settledEra == leadership.storeEra;
-    leadership.self.settledEra = isSettled ? leadership.storeEra : leadership.lastRecord->settledEra;
-    if (isSettled)
-        leader.settledEra = leadership.storeEra;
-}
-
 void appendLeaseRecord(Node& node)
 {
     Granting::Leadership& leadership = node.leader.leadership;
     if (!leadership.term)
-        updateSettledEra(node);
+        node.leader.settledEra = Granting::updateSettledEra(leadership, node.leader.settledEra);
     Granting::recordAppendSent(leadership, now());
     Platform::AppendParameters parameters;
     parameters.topic = leaderTopic;
@@ -109,15 +98,13 @@
         });
 }
 
-/// After the store has returned from a copy, upstreams may hold keys by grants that no record shows. Unless
-/// this VM knows of all, it waits until they have expired.
 void deferGrantsUnlessSettled(Node& node, Utils::Instant at)
 {
     LeaderState& leader = node.leader;
-    leader.grantsNotBefore = at;
-    if (leader.leadership.self.settledEra == leader.leadership.storeEra)
+    leader.grantsNotBefore
+        = Granting::earliestGrant(leader.leadership, node.settings.operatingLimits.maxKeyLease, at);
+    if (leader.grantsNotBefore == at)
         return;
-    leader.grantsNotBefore = Granting::latestFormerLeaseExpiry(node.settings.operatingLimits.maxKeyLease, at);
     Logging::write(Logging::Level::Warning, "grants_deferred",
         { { "era", leader.leadership.storeEra }, { "settled_era", leader.leadership.self.settledEra },
             { "ms", Utils::toMilliseconds(leader.grantsNotBefore - at) } });
--- a/src/libs/edge/storeera.cpp
+++ b/src/libs/edge/storeera.cpp
@@ -1,6 +1,7 @@
 #include <edge/clock.h>
 #include <edge/storeera.h>
 #include <edge/topicfollowing.h>
+#include <granting/storereturn.h>
 #include <logging/log.h>
 #include <routing/upstreamdirectory.h>
 
@@ -8,15 +9,13 @@
 
 namespace Internal {
 
-/// Whether this VM knows all assignments that were written in the era \a era until now: it led, or is linked
-/// to the leader, and the leader knew them.
+/// Whether this VM knows all assignments that were written in the era \a era until now.
 bool knowsAllAssignments(const Node& node, std::uint64_t era, bool isLeading)
 {
-    const Granting::Leadership& leadership = node.leader.leadership;
     const bool isLinkedToLeader = node.relay.sourceLink && node.relay.sourceLink->subscribed
         && !node.relay.sourceLink->vm.value.empty();
-    const bool leaderKnows = leadership.lastRecord && leadership.lastRecord->settledEra == era;
-    return (isLeading && node.leader.settledEra == era) || (isLinkedToLeader && leaderKnows);
+    return Granting::knowsAllAssignments(
+        node.leader.leadership, node.leader.settledEra, era, isLeading, isLinkedToLeader);
 }
 
 void handleStoreReturn(Node& node, std::uint64_t era)
--- /dev/null
+++ b/src/libs/granting/storereturn.cpp
@@ -0,0 +1,47 @@
+#include <granting/granter.h>
+#include <granting/storereturn.h>
+
+#include <utility>
+
+namespace Granting {
+
+bool knowsAllAssignments(const Leadership& leadership, std::uint64_t settledEra, std::uint64_t era,
+    bool isLeading, bool isLinkedToLeader)
+{
+    const bool leaderKnows = leadership.lastRecord && leadership.lastRecord->settledEra == era;
+    return (isLeading && settledEra == era) || (isLinkedToLeader && leaderKnows);
+}
+
+std::uint64_t updateSettledEra(Leadership& leadership, std::uint64_t settledEra)
+{
+    const bool isSettled = !leadership.lastRecord || leadership.lastRecord->settledEra == leadership.storeEra
+        || settledEra == leadership.storeEra;
+    leadership.self.settledEra = isSettled ? leadership.storeEra : leadership.lastRecord->settledEra;
+    return isSettled ? leadership.storeEra : settledEra;
+}
+
+Utils::Instant earliestGrant(const Leadership& leadership, Utils::Duration maxKeyLease, Utils::Instant now)
+{
+    return leadership.self.settledEra == leadership.storeEra ? now
+                                                             : latestFormerLeaseExpiry(maxKeyLease, now);
+}
+
+std::set<Utils::ServiceId> replaceByNewer(
+    std::map<Utils::ServiceId, KeyAssignment>& stored, const std::map<Utils::ServiceId, KeyAssignment>& known)
+{
+    std::set<Utils::ServiceId> replaced;
+    for (auto it = known.begin(); it != known.end(); ++it) {
+        const KeyAssignment& assignment = it->second;
+        const auto found = stored.find(it->first);
+        const bool isNewer = found == stored.end()
+            || std::pair(assignment.term, assignment.version)
+                > std::pair(found->second.term, found->second.version);
+        if (!isNewer || assignment.segments.empty())
+            continue;
+        stored[it->first] = assignment;
+        replaced.insert(it->first);
+    }
+    return replaced;
+}
+
+} // namespace Granting
