--- /dev/null
+++ b/tests/auto/granting/simulation.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "guards.h"
+#include "outcome.h"
+#include "simulatedevent.h"
+#include "simulatedupstream.h"
+#include "simulatedvm.h"
+
+#include <granting/keyassignment.h>
+#include <granting/leaderrecord.h>
+
+#include <deque>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace GrantTest {
+
+inline constexpr unsigned vmCount = 2;
+inline constexpr unsigned upstreamCount = 3;
+inline constexpr Utils::Duration tickInterval = std::chrono::milliseconds(20);
+inline constexpr Utils::Duration maxKeyLease = std::chrono::seconds(10);
+
+/// The state of one run.
+struct Simulation {
+    explicit Simulation(std::uint64_t seed, const Guards& guards)
+        : random(seed)
+        , guards(guards)
+        , vms(vmCount)
+        , upstreams(upstreamCount)
+    {
+    }
+
+    std::mt19937_64 random;
+    Guards guards;
+    Utils::Instant now { std::chrono::seconds(1000) };
+    std::vector<SimulatedEvent> events;
+    std::vector<SimulatedVm> vms;
+    std::vector<SimulatedUpstream> upstreams;
+    std::vector<Granting::LeaderRecord> leaders;
+    std::vector<Granting::KeyAssignment> records;
+    bool isStoreDown = false;
+    unsigned restarts = 0;
+    std::map<std::uint16_t, std::uint64_t> highestTokens;
+    std::map<std::uint16_t, unsigned> highestTokenHolders;
+    Outcome outcome;
+    /// The last events, for the report of a fault.
+    std::deque<std::string> trace;
+};
+
+/// Adds a line to the trace, which a fault reports.
+void addToTrace(Simulation& simulation, const std::string& text);
+
+/// Draws whether something of \a probability happens.
+bool happens(Simulation& simulation, double probability);
+
+Utils::Duration randomDuration(Simulation& simulation, Utils::Duration min, Utils::Duration max);
+
+void schedule(Simulation& simulation, Utils::Duration delay, std::function<void()> run);
+
+/// Runs the events that are due, in the order of their times.
+void runDueEvents(Simulation& simulation);
+
+Utils::UpstreamId upstreamId(unsigned upstream);
+
+unsigned upstreamIndex(const Utils::UpstreamId& id);
+
+} // namespace GrantTest
