Announce an era as settled only once the store shows it

Cause: after a return from a copy, a leader that knew the lost assignments from memory announced the era as settled with its first append, before it had written them again.

The leader record now announces what the store's records show; an era known by memory is announced by the first renewal after the first write of the term. Whether grants are deferred depends on what the VM itself knows, as before.

The cost: a VM that takes over in the window between, at most a write and a renewal, defers its grants.

--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -101,8 +101,8 @@
 void deferGrantsUnlessSettled(Node& node, Utils::Instant at)
 {
     LeaderState& leader = node.leader;
-    leader.grantsNotBefore
-        = Granting::earliestGrant(leader.leadership, node.settings.operatingLimits.maxKeyLease, at);
+    leader.grantsNotBefore = Granting::earliestGrant(
+        leader.leadership, leader.settledEra, node.settings.operatingLimits.maxKeyLease, at);
     if (leader.grantsNotBefore == at)
         return;
     Logging::write(Logging::Level::Warning, "grants_deferred",
@@ -128,7 +128,9 @@
     if (at < leader.grantsNotBefore)
         return;
     leader.settledEra = leader.leadership.storeEra;
-    leader.leadership.self.settledEra = leader.settledEra;
+    // Until then a part of the assignments may be known to the memory of this VM only.
+    if (leader.hasWrittenInTerm)
+        leader.leadership.self.settledEra = leader.settledEra;
     if (!leader.rereadNeeded)
         planKeyPlacements(node, at);
     // Nothing is granted before the first write has shown that the records read before were the newest.
--- a/src/libs/granting/leaderrecord.h
+++ b/src/libs/granting/leaderrecord.h
@@ -14,7 +14,7 @@
     Utils::Incarnation incarnation = 0;
     /// Where the leader receives load reports.
     Routing::Endpoint loadReportEndpoint;
-    /// The era of the store in which the leader knows all assignments that were ever granted. Lower than the
+    /// The era of the store whose records show all assignments that were ever granted. Lower than the
     /// store's if the store returned from an older copy and grants of the lost time may still be in force.
     std::uint64_t settledEra = 0;
 
--- a/src/libs/granting/storereturn.cpp
+++ b/src/libs/granting/storereturn.cpp
@@ -14,16 +14,16 @@
 
 std::uint64_t updateSettledEra(Leadership& leadership, std::uint64_t settledEra)
 {
-    const bool isSettled = !leadership.lastRecord || leadership.lastRecord->settledEra == leadership.storeEra
-        || settledEra == leadership.storeEra;
-    leadership.self.settledEra = isSettled ? leadership.storeEra : leadership.lastRecord->settledEra;
-    return isSettled ? leadership.storeEra : settledEra;
+    const bool isStoreSettled
+        = !leadership.lastRecord || leadership.lastRecord->settledEra == leadership.storeEra;
+    leadership.self.settledEra = isStoreSettled ? leadership.storeEra : leadership.lastRecord->settledEra;
+    return isStoreSettled ? leadership.storeEra : settledEra;
 }
 
-Utils::Instant earliestGrant(const Leadership& leadership, Utils::Duration maxKeyLease, Utils::Instant now)
+Utils::Instant earliestGrant(
+    const Leadership& leadership, std::uint64_t settledEra, Utils::Duration maxKeyLease, Utils::Instant now)
 {
-    return leadership.self.settledEra == leadership.storeEra ? now
-                                                             : latestFormerLeaseExpiry(maxKeyLease, now);
+    return settledEra == leadership.storeEra ? now : latestFormerLeaseExpiry(maxKeyLease, now);
 }
 
 std::set<Utils::ServiceId> replaceByNewer(
--- a/src/libs/granting/storereturn.h
+++ b/src/libs/granting/storereturn.h
@@ -16,14 +16,16 @@
     bool isLeading, bool isLinkedToLeader);
 
 /// Decides whether this VM, which is about to acquire the lease, knows all assignments that may be in force,
-/// and records that in its leader record. \param settledEra the last era whose assignments the VM knows.
-/// Returns the new value of \a settledEra.
+/// and what its leader record announces: only what the store's records show, as the VM may
+/// restart before it has written again what it knows from memory. \param settledEra the last era whose
+/// assignments the VM knows. Returns the new value of \a settledEra.
 std::uint64_t updateSettledEra(Leadership& leadership, std::uint64_t settledEra);
 
 /// The time before which a leader whose term begins at \a now plans and grants nothing. After the store has
 /// returned from a copy, upstreams may hold keys by grants that no record shows. Unless the leader knows of
 /// all, it waits until they have expired.
-Utils::Instant earliestGrant(const Leadership& leadership, Utils::Duration maxKeyLease, Utils::Instant now);
+Utils::Instant earliestGrant(
+    const Leadership& leadership, std::uint64_t settledEra, Utils::Duration maxKeyLease, Utils::Instant now);
 
 /// Replaces assignments in \a stored by newer ones of \a known, which this VM has in memory: the store may
 /// have returned from a copy that lacks them. Returns the services for which it does.
--- a/tests/auto/granting/simulatedleader.cpp
+++ b/tests/auto/granting/simulatedleader.cpp
@@ -131,7 +131,8 @@
     state.startedTerm = state.leadership.term;
     state.grantsNotBefore = simulation.now;
     if (simulation.guards.defersGrants)
-        state.grantsNotBefore = earliestGrant(state.leadership, maxKeyLease, simulation.now);
+        state.grantsNotBefore
+            = earliestGrant(state.leadership, state.settledEra, maxKeyLease, simulation.now);
     simulation.outcome.terms += simulation.conditions.storeReturns ? 1 : 0;
     const bool isDeferred = state.grantsNotBefore > simulation.now;
     simulation.outcome.deferrals += isDeferred ? 1 : 0;
@@ -153,7 +154,8 @@
         || simulation.now < state.grantsNotBefore)
         return;
     state.settledEra = state.leadership.storeEra;
-    state.leadership.self.settledEra = state.settledEra;
+    if (state.hasWrittenRecord)
+        state.leadership.self.settledEra = state.settledEra;
     if (!state.isWritingRecord)
         writeRecord(simulation, vm);
     if (!state.hasWrittenRecord)
