--- a/tests/auto/granting/simulatedrelay.cpp
+++ b/tests/auto/granting/simulatedrelay.cpp
@@ -3,6 +3,8 @@
 
 #include <platform/storeposition.h>
 
+#include <boost/leaf.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -147,7 +149,7 @@
     if (previous.segments.empty())
         frame.assignment = assignment;
     else
-        frame.delta = computeDelta(previous, assignment);
+        frame.delta = decodeDelta(encodeDelta(computeDelta(previous, assignment))).value();
     sendFrame(simulation, vm, frame);
 }
 
--- a/tests/auto/granting/tst_assignmentdelta.cpp
+++ b/tests/auto/granting/tst_assignmentdelta.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <random>
+#include <vector>
 
 using namespace Granting;
 
@@ -66,3 +67,24 @@
         []() { return true; });
     CHECK(failed);
 }
+
+TEST_CASE("A delta names the previous holders, as a VM may lead next with nothing but relayed assignments",
+    "[assignmentdelta]")
+{
+    struct Row {
+        const char* name;
+        std::vector<Utils::UpstreamId> before;
+        std::vector<Utils::UpstreamId> after;
+    };
+    const Row row = GENERATE(values<Row>({
+        { "none", {}, {} },
+        { "the keys have moved", {}, { { "a" } } },
+        { "another one", { { "a" } }, { { "a" }, { "c" } } },
+        { "all have released the keys", { { "a" } }, {} },
+    }));
+    INFO(row.name);
+    const KeyAssignment base { { "s" }, 3, 1, { { { 0, UINT16_MAX }, { "b" }, false, 0, row.before } } };
+    const KeyAssignment next { { "s" }, 3, 2, { { { 0, UINT16_MAX }, { "b" }, false, 0, row.after } } };
+    const AssignmentDelta delta = decodeDelta(encodeDelta(computeDelta(base, next))).value();
+    CHECK(applyDelta(base, delta) == next);
+}
