Show that a leader believes to know assignments it has not read

Cause: a VM counts as knowing all assignments of an era from the moment at which it tries to acquire the lease, or from its start in era 0. If the store returns before it has read them, it leads again at once from the copy.

--- a/tests/auto/granting/tst_storereturn.cpp
+++ b/tests/auto/granting/tst_storereturn.cpp
@@ -39,3 +39,19 @@
     updateSettledEra(leadership, row.settledEra);
     CHECK(leadership.self.settledEra == row.announcedNext);
 }
+
+TEST_CASE(
+    "A VM that has acquired the lease knows all assignments only after its first write", "[storereturn]")
+{
+    const std::uint64_t era = GENERATE(0, 3);
+    INFO("era " << era);
+    Leadership leadership;
+    leadership.self = { { "a" }, 1, { "10.0.0.1", 7000 }, 0 };
+    leadership.storeEra = era;
+    recordLogRead(leadership, 4, LeaderRecord { { "b" }, 9, { "10.0.0.2", 7000 }, era }, start);
+    const std::uint64_t settledEra = updateSettledEra(leadership, 0);
+    recordAppendSent(leadership, start);
+    recordAppendSucceeded(leadership, 4);
+    // The store returns before the VM has read any assignment.
+    CHECK_FALSE(knowsAllAssignments(leadership, settledEra, era, mayLeadAgain(leadership, start), false));
+}
