Know all assignments of an era only after a write in it

Cause: a VM that acquired the lease counted at once as knowing all assignments, and in era 0 from its start, though it had read none, or a stale copy.

The settled era of a VM is now empty at the start and is set after the first conditional write of its term, which shows that the records read before were the newest, or by a return of which it knows all. Grants are still not deferred if the leader record says that the store shows all.

--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -63,7 +63,7 @@
 {
     Granting::Leadership& leadership = node.leader.leadership;
     if (!leadership.term)
-        node.leader.settledEra = Granting::updateSettledEra(leadership, node.leader.settledEra);
+        Granting::updateSettledEra(leadership);
     Granting::recordAppendSent(leadership, now());
     Platform::AppendParameters parameters;
     parameters.topic = leaderTopic;
@@ -127,10 +127,11 @@
     }
     if (at < leader.grantsNotBefore)
         return;
-    leader.settledEra = leader.leadership.storeEra;
-    // Until then a part of the assignments may be known to the memory of this VM only.
-    if (leader.hasWrittenInTerm)
-        leader.leadership.self.settledEra = leader.settledEra;
+    // Before, the records read may be stale, and a part of the assignments may be in this VM's memory only.
+    if (leader.hasWrittenInTerm) {
+        leader.settledEra = leader.leadership.storeEra;
+        leader.leadership.self.settledEra = leader.leadership.storeEra;
+    }
     if (!leader.rereadNeeded)
         planKeyPlacements(node, at);
     // Nothing is granted before the first write has shown that the records read before were the newest.
--- a/src/libs/edge/leaderstate.h
+++ b/src/libs/edge/leaderstate.h
@@ -34,8 +34,8 @@
     /// The outcome of a write is unknown, so the assignments must be read again.
     bool rereadNeeded = false;
     Utils::Instant plannedAt {};
-    /// Era of the store in which this VM knows all assignments that may be in force.
-    std::uint64_t settledEra = 0;
+    /// Era of the store in which this VM, by a write of its own, knows all assignments that may be in force.
+    std::optional<std::uint64_t> settledEra;
     /// No keys are planned or granted before, as unknown grants may be in force.
     Utils::Instant grantsNotBefore {};
     /// When an upstream was last added to the directory.
--- a/src/libs/granting/storereturn.cpp
+++ b/src/libs/granting/storereturn.cpp
@@ -5,25 +5,25 @@
 
 namespace Granting {
 
-bool knowsAllAssignments(const Leadership& leadership, std::uint64_t settledEra, std::uint64_t era,
-    bool isLeading, bool isLinkedToLeader)
+bool knowsAllAssignments(const Leadership& leadership, std::optional<std::uint64_t> settledEra,
+    std::uint64_t era, bool isLeading, bool isLinkedToLeader)
 {
     const bool leaderKnows = leadership.lastRecord && leadership.lastRecord->settledEra == era;
     return (isLeading && settledEra == era) || (isLinkedToLeader && leaderKnows);
 }
 
-std::uint64_t updateSettledEra(Leadership& leadership, std::uint64_t settledEra)
+void updateSettledEra(Leadership& leadership)
 {
-    const bool isStoreSettled
-        = !leadership.lastRecord || leadership.lastRecord->settledEra == leadership.storeEra;
-    leadership.self.settledEra = isStoreSettled ? leadership.storeEra : leadership.lastRecord->settledEra;
-    return isStoreSettled ? leadership.storeEra : settledEra;
+    const std::optional<LeaderRecord>& last = leadership.lastRecord;
+    leadership.self.settledEra = last ? last->settledEra : leadership.storeEra;
 }
 
-Utils::Instant earliestGrant(
-    const Leadership& leadership, std::uint64_t settledEra, Utils::Duration maxKeyLease, Utils::Instant now)
+Utils::Instant earliestGrant(const Leadership& leadership, std::optional<std::uint64_t> settledEra,
+    Utils::Duration maxKeyLease, Utils::Instant now)
 {
-    return settledEra == leadership.storeEra ? now : latestFormerLeaseExpiry(maxKeyLease, now);
+    const bool isSettled
+        = settledEra == leadership.storeEra || leadership.self.settledEra == leadership.storeEra;
+    return isSettled ? now : latestFormerLeaseExpiry(maxKeyLease, now);
 }
 
 std::set<Utils::ServiceId> replaceByNewer(
--- a/tests/auto/granting/simulatedelection.cpp
+++ b/tests/auto/granting/simulatedelection.cpp
@@ -30,7 +30,7 @@
 {
     SimulatedVm& state = simulation.vms[vm];
     if (!state.leadership.term)
-        state.settledEra = updateSettledEra(state.leadership, state.settledEra);
+        updateSettledEra(state.leadership);
     recordAppendSent(state.leadership, simulation.now);
     const std::size_t end = Platform::offsetOf(*state.leadership.logEnd);
     const LeaderRecord record = state.leadership.self;
--- a/tests/auto/granting/simulatedleader.cpp
+++ b/tests/auto/granting/simulatedleader.cpp
@@ -153,9 +153,10 @@
     if (!state.granter || !state.recordEnd || !state.leadership.term
         || simulation.now < state.grantsNotBefore)
         return;
-    state.settledEra = state.leadership.storeEra;
-    if (state.hasWrittenRecord)
-        state.leadership.self.settledEra = state.settledEra;
+    if (state.hasWrittenRecord) {
+        state.settledEra = state.leadership.storeEra;
+        state.leadership.self.settledEra = state.leadership.storeEra;
+    }
     if (!state.isWritingRecord)
         writeRecord(simulation, vm);
     if (!state.hasWrittenRecord)
--- a/tests/auto/granting/simulatedvm.h
+++ b/tests/auto/granting/simulatedvm.h
@@ -20,8 +20,8 @@
     unsigned restarts = 0;
     /// Era of the store, once known.
     std::optional<std::uint64_t> storeEra;
-    /// Era in which the VM knows all assignments that may be in force.
-    std::uint64_t settledEra = 0;
+    /// Era in which the VM, by a write of its own, knows all assignments that may be in force.
+    std::optional<std::uint64_t> settledEra;
     Utils::Instant grantsNotBefore {};
     /// The last term for which grantsNotBefore was set.
     std::optional<Utils::Offset> startedTerm;
--- a/tests/auto/granting/tst_storereturn.cpp
+++ b/tests/auto/granting/tst_storereturn.cpp
@@ -23,21 +23,24 @@
         /// Of the VM itself.
         std::uint64_t settledEra;
         std::uint64_t announcedNext;
+        bool isDeferred;
     };
     constexpr std::uint64_t storeEra = 3;
     const Row row = GENERATE_COPY(values<Row>({
-        { "all is known to the store", storeEra, 0, storeEra },
-        { "only the VM knows", 2, storeEra, 2 },
-        { "only the VM knows, after two returns", 1, storeEra, 1 },
-        { "nobody knows", 2, 2, 2 },
+        { "all is known to the store", storeEra, 0, storeEra, false },
+        { "only the VM knows", 2, storeEra, 2, false },
+        { "only the VM knows, after two returns", 1, storeEra, 1, false },
+        { "nobody knows", 2, 2, 2, true },
     }));
     INFO(row.name);
     Leadership leadership;
     leadership.self = { { "a" }, 1, { "10.0.0.1", 7000 }, 2 };
     leadership.storeEra = storeEra;
     recordLogRead(leadership, 4, LeaderRecord { { "b" }, 9, { "10.0.0.2", 7000 }, row.announcedEra }, start);
-    updateSettledEra(leadership, row.settledEra);
+    updateSettledEra(leadership);
     CHECK(leadership.self.settledEra == row.announcedNext);
+    const bool isDeferred = earliestGrant(leadership, row.settledEra, 10s, start) > start;
+    CHECK(isDeferred == row.isDeferred);
 }
 
 TEST_CASE(
@@ -49,9 +52,9 @@
     leadership.self = { { "a" }, 1, { "10.0.0.1", 7000 }, 0 };
     leadership.storeEra = era;
     recordLogRead(leadership, 4, LeaderRecord { { "b" }, 9, { "10.0.0.2", 7000 }, era }, start);
-    const std::uint64_t settledEra = updateSettledEra(leadership, 0);
+    updateSettledEra(leadership);
     recordAppendSent(leadership, start);
     recordAppendSucceeded(leadership, 4);
     // The store returns before the VM has read any assignment.
-    CHECK_FALSE(knowsAllAssignments(leadership, settledEra, era, mayLeadAgain(leadership, start), false));
+    CHECK_FALSE(knowsAllAssignments(leadership, std::nullopt, era, mayLeadAgain(leadership, start), false));
 }
