--- a/tests/auto/granting/tst_storereturn.cpp
+++ b/tests/auto/granting/tst_storereturn.cpp
@@ -58,3 +58,14 @@
     // The store returns before the VM has read any assignment.
     CHECK_FALSE(knowsAllAssignments(leadership, std::nullopt, era, mayLeadAgain(leadership, start), false));
 }
+
+TEST_CASE("An empty log of leaders in a later era does not show that no keys are held", "[storereturn]")
+{
+    Leadership leadership;
+    leadership.self = { { "a" }, 1, { "10.0.0.1", 7000 }, 0 };
+    recordLogRead(leadership, 4, LeaderRecord { { "b" }, 9, { "10.0.0.2", 7000 }, 0 }, start);
+    recordStoreReturn(leadership, 1, start);
+    recordLogRead(leadership, 64, std::nullopt, start);
+    updateSettledEra(leadership);
+    CHECK(earliestGrant(leadership, std::nullopt, 10s, start) > start);
+}
