Take no copy without leader records for settled after a return

A VM that has noticed a return and finds no leader record announces era 0, so that it defers its grants unless it knows all itself.

All of tst_granting passes (7075 assertions). The edge library builds; its tests were not run on this commit.

--- a/src/libs/granting/leadership.cpp
+++ b/src/libs/granting/leadership.cpp
@@ -141,6 +141,7 @@
     leadership.reacquireUntil = isLeading ? now + leaderLeaseDuration : Utils::Instant {};
     leadership.acquireNotBefore = isLeading ? now : now + Internal::withDriftAndMargin(leaderLeaseDuration);
     leadership.storeEra = era;
+    leadership.hasStoreReturned = true;
     leadership.term.reset();
     leadership.logEnd.reset();
     leadership.lastRecord.reset();
--- a/src/libs/granting/leadership.h
+++ b/src/libs/granting/leadership.h
@@ -28,6 +28,8 @@
     Utils::Instant lastAppendSentAt {};
     /// Era of the store.
     std::uint64_t storeEra = 0;
+    /// The store has returned from an older copy since this VM started.
+    bool hasStoreReturned = false;
     /// End of the log when it was first read in this era.
     std::optional<Utils::Offset> firstEndInEra;
     /// The lease is not acquired before: a leader of the former era may not know yet that the store returned.
--- a/src/libs/granting/storereturn.cpp
+++ b/src/libs/granting/storereturn.cpp
@@ -15,7 +15,9 @@
 void updateSettledEra(Leadership& leadership)
 {
     const std::optional<LeaderRecord>& last = leadership.lastRecord;
-    leadership.self.settledEra = last ? last->settledEra : leadership.storeEra;
+    // A copy without any leader record may stem from the time before the first leader.
+    const std::uint64_t eraWithoutRecord = leadership.hasStoreReturned ? 0 : leadership.storeEra;
+    leadership.self.settledEra = last ? last->settledEra : eraWithoutRecord;
 }
 
 Utils::Instant earliestGrant(const Leadership& leadership, std::optional<std::uint64_t> settledEra,
