--- a/tests/auto/granting/simulation.cpp
+++ b/tests/auto/granting/simulation.cpp
@@ -18,7 +18,7 @@
     simulation.trace.push_back(
         std::to_string(simulation.now.time_since_epoch() / 1ms - 1000000) + " " + text);
     if (simulation.trace.size() > traceLength)
-        simulation.trace.pop_front();
+        simulation.trace.erase(simulation.trace.begin());
 }
 
 bool happens(Simulation& simulation, double probability)
--- a/tests/auto/granting/simulation.h
+++ b/tests/auto/granting/simulation.h
@@ -10,7 +10,6 @@
 #include <granting/keyassignment.h>
 #include <granting/leaderrecord.h>
 
-#include <deque>
 #include <map>
 #include <random>
 #include <vector>
@@ -53,7 +52,7 @@
     std::map<std::uint16_t, unsigned> highestTokenHolders;
     Outcome outcome;
     /// The last events, for the report of a fault.
-    std::deque<std::string> trace;
+    std::vector<std::string> trace;
 };
 
 /// Adds a line to the trace, which a fault reports.
