Cut VMs from all upstreams in the fault soak

The soak could silence or reset one upstream for all VMs, but not cut a VM from all upstreams, and an upstream that restarted was always known at once.

A partition makes its links hang (SYNs unanswered), refuse new connections only, or reset and refuse all, at half of the VMs, all but one, all or the leader. An upstream with keys restarts while its reports do not reach the store, as another one drains. Checks: callers at cut VMs against those at others, service after healing, no harmless request quarantined. The soak connects to a link of each cut VM itself during and after the cut, and measures how late its thread runs; a difference or 250 ms makes the run invalid, not the product. The settings reserve the internal ports that forwarding needs.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,4 +1,5 @@
 #include <soak/callers.h>
+#include <soak/partitions.h>
 
 #include <csignal>
 
@@ -54,6 +55,7 @@
     record.vm = vm;
     record.vmPid = world.vms[vm]->pid;
     record.sentAt = std::chrono::steady_clock::now();
+    notePhase(world, record);
     Platform::HttpRequest request = makeRequest(record, drawNumber(world, 0, keyCount - 1));
     world.requestIndex[record.id] = index;
     world.requests.push_back(std::move(record));
--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -1,4 +1,5 @@
 #include <soak/checks.h>
+#include <soak/partitionchecks.h>
 
 #include <boost/json.hpp>
 
@@ -124,6 +125,19 @@
     }
 }
 
+bool isHarmlessQuarantined(const RequestRecord& record)
+{
+    return !isPoison(record) && record.responseBody == "poison_held\n";
+}
+
+void checkQuarantine(World& world)
+{
+    const std::size_t count = static_cast<std::size_t>(
+        std::count_if(world.requests.begin(), world.requests.end(), isHarmlessQuarantined));
+    if (count > 0)
+        violate(world, "harmless requests quarantined: " + std::to_string(count));
+}
+
 void checkRetryBudget(World& world)
 {
     std::vector<Instant> requests;
@@ -197,7 +211,9 @@
     for (const RequestRecord& record : world.requests)
         checkRequest(world, record);
     checkPoison(world);
+    checkQuarantine(world);
     checkRetryBudget(world);
+    checkPartitions(world);
     if (!world.requests.empty())
         checkRecovery(world);
 }
@@ -214,7 +230,7 @@
             continue;
         }
         ++statuses[record.status];
-        harmlessQuarantined += record.responseBody == "poison_held\n" ? 1 : 0;
+        harmlessQuarantined += isHarmlessQuarantined(record) ? 1 : 0;
     }
     json::object byStatus;
     for (auto it = statuses.begin(); it != statuses.end(); ++it)
@@ -226,6 +242,9 @@
     summary["poison_arrivals"] = poisonArrivals;
     summary["harmless_quarantined"] = harmlessQuarantined;
     summary["peak_memory_kb"] = memory;
+    summary["partitions"] = summarizePartitions(world);
+    summary["max_lag_ms"] = world.maxLag.count();
+    summary["soak_faults"] = json::value_from(world.soakFaults);
     json::array violations;
     for (const std::string& violation : world.violations)
         violations.emplace_back(violation);
--- a/tests/soak/faultkind.h
+++ b/tests/soak/faultkind.h
@@ -26,9 +26,11 @@
     UpstreamFails,
     ConfigurationChanged,
     Poison,
+    VmsPartitioned,
+    UnreportedRestart,
 };
 
-inline constexpr std::array<Utils::EnumName<FaultKind>, 18> faultKindNames { {
+inline constexpr std::array<Utils::EnumName<FaultKind>, 20> faultKindNames { {
     { FaultKind::VmKilled, "vm_killed" },
     { FaultKind::LeaderKilled, "leader_killed" },
     { FaultKind::VmStopped, "vm_stopped" },
@@ -47,6 +49,8 @@
     { FaultKind::UpstreamFails, "upstream_fails" },
     { FaultKind::ConfigurationChanged, "configuration_changed" },
     { FaultKind::Poison, "poison" },
+    { FaultKind::VmsPartitioned, "vms_partitioned" },
+    { FaultKind::UnreportedRestart, "unreported_restart" },
 } };
 
 } // namespace Soak
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -1,5 +1,6 @@
 #include <soak/callers.h>
 #include <soak/faults.h>
+#include <soak/partitions.h>
 
 #include <algorithm>
 #include <csignal>
@@ -91,16 +92,15 @@
     });
 }
 
-void drainUpstream(World& world)
+void drainUpstream(World& world, UpstreamHost& upstream)
 {
     constexpr std::chrono::milliseconds drainTime = 3500ms;
-    UpstreamHost& upstream = drawUpstream(world);
-    if (!upstream.up || upstream.draining)
+    if (!upstream.up || upstream.draining || upstream.unreported)
         return;
     upstream.draining = true;
     publishEntry(world, upstream);
     after(world, drainTime, [&world, &upstream] {
-        if (!upstream.up || !upstream.draining)
+        if (!upstream.up || !upstream.draining || upstream.unreported)
             return;
         StandInStore::putRecord(world.store, "keyed.servers", upstream.server.id, "");
         crashAndRestart(world, upstream, restartDelay);
@@ -110,11 +110,60 @@
 void silenceUpstream(World& world, std::chrono::milliseconds length)
 {
     UpstreamHost& upstream = drawUpstream(world);
-    upstream.way.silent[drawNumber(world, 0, 1)] = true;
+    const std::size_t side = drawNumber(world, 0, 1);
+    for (const std::unique_ptr<TcpProxy>& way : upstream.ways)
+        way->silent[side] = true;
     after(world, length, [&upstream] {
-        upstream.way.silent = {};
-        releaseHeldBytes(upstream.way);
+        for (const std::unique_ptr<TcpProxy>& way : upstream.ways) {
+            way->silent = {};
+            releaseHeldBytes(*way);
+        }
+    });
+}
+
+void resetUpstream(UpstreamHost& upstream)
+{
+    for (const std::unique_ptr<TcpProxy>& way : upstream.ways) {
+        if (way->state != LinkState::Hanging)
+            resetConnections(*way);
+    }
+}
+
+/// An upstream with keys, or any if there is none.
+UpstreamHost& drawKeyedUpstream(World& world)
+{
+    std::vector<UpstreamHost*> keyed;
+    for (const std::unique_ptr<UpstreamHost>& upstream : world.upstreams) {
+        if (upstream->server.keyed)
+            keyed.push_back(upstream.get());
+    }
+    return keyed.empty() ? drawUpstream(world) : *keyed[drawNumber(world, 0, keyed.size() - 1)];
+}
+
+/// An upstream restarts while its reports do not reach the store, and another one drains, so that keys move.
+void restartUnreported(World& world, std::chrono::milliseconds length)
+{
+    const std::chrono::milliseconds downtime(drawNumber(world, 20, 400));
+    const std::chrono::milliseconds drainDelay(drawNumber(world, 0, 1000));
+    UpstreamHost& upstream = drawKeyedUpstream(world);
+    UpstreamHost& drained = drawKeyedUpstream(world);
+    if (!upstream.up || upstream.draining || upstream.unreported)
+        return;
+    upstream.unreported = true;
+    crashAndRestart(world, upstream, downtime);
+    after(world, length, [&world, &upstream] {
+        upstream.unreported = false;
+        if (upstream.up)
+            publishEntry(world, upstream);
     });
+    after(world, drainDelay, [&world, &drained] { drainUpstream(world, drained); });
+}
+
+void partitionVms(World& world, std::chrono::milliseconds length)
+{
+    const std::size_t state = drawNumber(world, 1, linkStateNames.size() - 1);
+    const std::size_t set = drawNumber(world, 0, partitionSetNames.size() - 1);
+    startPartition(world, linkStateNames.at(state).value, partitionSetNames.at(set).value, length);
 }
 
 void failRequests(World& world)
@@ -137,25 +186,62 @@
 {
     if (!world.options.onlyFault.empty())
         return Utils::enumFromName(faultKindNames, world.options.onlyFault).value_or(FaultKind::Poison);
+    // Partitions last, and only one at a time.
+    constexpr std::size_t faultsPerPartition = 6;
+    if (drawNumber(world, 1, faultsPerPartition) == 1)
+        return FaultKind::VmsPartitioned;
     return faultKindNames.at(drawNumber(world, 0, faultKindNames.size() - 1)).value;
 }
 
+std::chrono::milliseconds drawLength(World& world, FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::VmsPartitioned:
+        return std::chrono::milliseconds(drawNumber(world, 2000, 9000));
+    case FaultKind::UnreportedRestart:
+        return std::chrono::milliseconds(drawNumber(world, 1000, 5000));
+    default:
+        return std::chrono::milliseconds(drawNumber(world, 300, 4000));
+    }
+}
+
 void injectNext(World& world, Instant end)
 {
-    const std::chrono::milliseconds length(drawNumber(world, 300, 4000));
-    const Instant at = std::chrono::steady_clock::now();
-    if (at + length > end)
+    const FaultKind kind = drawFault(world);
+    constexpr std::chrono::milliseconds minLength = 300ms;
+    const std::chrono::milliseconds timeLeft
+        = std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+    if (timeLeft < minLength)
         return;
-    injectFault(world, drawFault(world), length);
+    const std::chrono::milliseconds length = std::min(drawLength(world, kind), timeLeft);
+    injectFault(world, kind, length);
     after(world, std::chrono::milliseconds(drawNumber(world, 200, 2500)),
         [&world, end] { injectNext(world, end); });
 }
 
+void scheduleOnlyPartition(World& world)
+{
+    constexpr std::chrono::milliseconds startTime = 5s;
+    const SoakOptions& options = world.options;
+    const LinkState state
+        = Utils::enumFromName(linkStateNames, options.cutState).value_or(LinkState::Hanging);
+    const PartitionSet set
+        = Utils::enumFromName(partitionSetNames, options.cutSet).value_or(PartitionSet::Half);
+    after(world, startTime, [&world, state, set] {
+        startPartition(world, state, set, std::chrono::seconds(world.options.cutSeconds));
+    });
+}
+
 void noteDisturbance(World& world, FaultKind kind, std::chrono::milliseconds length)
 {
     constexpr std::array<FaultKind, 7> kinds { FaultKind::VmKilled, FaultKind::LeaderKilled,
         FaultKind::VmStopped, FaultKind::VmPaused, FaultKind::AllVmsKilled, FaultKind::StoreAway,
         FaultKind::StoreSilent };
+    // A drain and the restart after it last longest.
+    constexpr std::chrono::milliseconds longestEffect = 5s;
+    if (kind != FaultKind::VmsPartitioned)
+        world.otherFaultUntil = std::max(
+            world.otherFaultUntil, std::chrono::steady_clock::now() + std::max(length, longestEffect));
     world.storeReturned = world.storeReturned || kind == FaultKind::StoreReturned;
     if (std::find(kinds.begin(), kinds.end(), kind) != kinds.end())
         world.leaderDisturbedAt
@@ -166,6 +252,10 @@
 
 void startFaults(World& world)
 {
+    if (!world.options.cutState.empty()) {
+        scheduleOnlyPartition(world);
+        return;
+    }
     const Instant at = std::chrono::steady_clock::now();
     injectNext(world, at + std::chrono::seconds(world.options.seconds) - calmAtEnd);
 }
@@ -219,13 +309,13 @@
         break;
     }
     case FaultKind::UpstreamDrained:
-        drainUpstream(world);
+        drainUpstream(world, drawUpstream(world));
         break;
     case FaultKind::UpstreamSilenced:
         silenceUpstream(world, length);
         break;
     case FaultKind::UpstreamReset:
-        resetConnections(drawUpstream(world).way);
+        resetUpstream(drawUpstream(world));
         break;
     case FaultKind::UpstreamFails:
         failRequests(world);
@@ -236,6 +326,12 @@
     case FaultKind::Poison:
         startDrawnPoison(world);
         break;
+    case FaultKind::VmsPartitioned:
+        partitionVms(world, length);
+        break;
+    case FaultKind::UnreportedRestart:
+        restartUnreported(world, length);
+        break;
     }
 }
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,6 +1,7 @@
 #include <soak/callers.h>
 #include <soak/checks.h>
 #include <soak/faults.h>
+#include <soak/partitions.h>
 
 #include <logging/log.h>
 
@@ -24,12 +25,20 @@
     TCLAP::ValueArg<std::size_t> vms("", "vms", "Number of VMs", false, 5, "number", command);
     TCLAP::ValueArg<std::size_t> upstreams(
         "", "upstreams", "Number of upstreams", false, 12, "number", command);
+    TCLAP::ValueArg<std::size_t> maxKeyed(
+        "", "max-keyed", "Most upstreams that own keys", false, options.maxKeyed, "number", command);
     TCLAP::ValueArg<unsigned> seconds("", "seconds", "Length of the traffic", false, 24, "seconds", command);
     TCLAP::ValueArg<unsigned> rate("", "rate", "Requests a second", false, 60, "number", command);
     TCLAP::ValueArg<std::string> program("", "program", "Path of the daemon", true, "", "path", command);
     TCLAP::ValueArg<std::string> folder(
         "", "folder", "Folder for settings and logs; a temporary one if absent", false, "", "path", command);
     TCLAP::ValueArg<std::string> fault("", "fault", "The only kind of fault", false, "", "name", command);
+    TCLAP::ValueArg<std::string> cutState(
+        "", "cut", "Injects one partition only: hanging, refusing_new or reset", false, "", "state", command);
+    TCLAP::ValueArg<std::string> cutSet("", "cut-set",
+        "VMs that --cut cuts: half, all_but_one, all or leader", false, options.cutSet, "set", command);
+    TCLAP::ValueArg<unsigned> cutSeconds(
+        "", "cut-seconds", "Length of the partition of --cut", false, options.cutSeconds, "seconds", command);
     command.parse(argc, argv);
     options.seed = seed.getValue();
     options.vms = vms.getValue();
@@ -39,6 +48,10 @@
     options.program = program.getValue();
     options.folder = folder.getValue();
     options.onlyFault = fault.getValue();
+    options.maxKeyed = maxKeyed.getValue();
+    options.cutState = cutState.getValue();
+    options.cutSet = cutSet.getValue();
+    options.cutSeconds = cutSeconds.getValue();
     return options;
 }
 
@@ -50,6 +63,7 @@
     Soak::World world(options);
     Soak::startWorld(world);
     Soak::startLoadBalancer(world);
+    Soak::watchLag(world);
     Soak::runFor(world, startTime);
     Soak::startTraffic(world);
     Soak::startFaults(world);
@@ -59,7 +73,7 @@
     Soak::checkPromises(world);
     std::cout << Soak::summarize(world) << "\n";
     Soak::endWorld(world);
-    return world.violations.empty();
+    return world.violations.empty() && world.soakFaults.empty();
 }
 
 } // namespace
--- a/tests/soak/requestrecord.h
+++ b/tests/soak/requestrecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <edge/calloutcome.h>
+#include <soak/cutphase.h>
 #include <soak/requestkind.h>
 #include <soak/vmprocess.h>
 
@@ -30,6 +31,11 @@
     bool ended = false;
     /// The VM was disturbed after the request was sent.
     bool vmDisturbed = false;
+    CutPhase phase = CutPhase::None;
+    /// Index of the partition that the phase refers to.
+    std::size_t partition = 0;
+    /// No other fault had been in effect lately.
+    bool isCalm = false;
     Edge::CallOutcome outcome = Edge::CallOutcome::NotConnected;
     unsigned status = 0;
     std::string responseBody;
--- a/tests/soak/soakoptions.h
+++ b/tests/soak/soakoptions.h
@@ -10,6 +10,8 @@
     std::uint64_t seed = 1;
     std::size_t vms = 5;
     std::size_t upstreams = 12;
+    /// At most a third of the upstreams own keys, and no more than this.
+    std::size_t maxKeyed = 1000;
     /// Length of the traffic.
     unsigned seconds = 24;
     unsigned requestsPerSecond = 60;
@@ -19,6 +21,10 @@
     std::string folder;
     /// Only requests that crash upstreams and the faults named here, for experiments; all faults if empty.
     std::string onlyFault;
+    /// Names of a LinkState and a PartitionSet: the only fault is one such partition.
+    std::string cutState;
+    std::string cutSet = "half";
+    unsigned cutSeconds = 12;
 };
 
 } // namespace Soak
--- a/tests/soak/tcpproxy.h
+++ b/tests/soak/tcpproxy.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <soak/linkstate.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -8,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <vector>
 
 /// Forwards TCP connections on loopback and harms them.
 namespace Soak {
@@ -27,18 +30,28 @@
         /// Bytes read from the socket of the same index.
         std::array<std::array<char, bufferBytes>, 2> buffers {};
         std::array<std::size_t, 2> held {};
+        /// One side ended while the link hung, which the other side must not notice before it heals.
+        bool lost = false;
     };
 
-    TcpProxy(boost::asio::io_context& context, Tcp::endpoint target)
+    TcpProxy(boost::asio::io_context& context, Tcp::endpoint own, Tcp::endpoint target)
         : context(context)
         , acceptor(context)
+        , endpoint(std::move(own))
         , target(std::move(target))
     {
     }
 
     boost::asio::io_context& context;
     Tcp::acceptor acceptor;
+    /// Where the proxy listens.
+    Tcp::endpoint endpoint;
     Tcp::endpoint target;
+    LinkState state = LinkState::Open;
+    /// The proxy has been started and not stopped.
+    bool serving = false;
+    /// Connections that nobody accepts, which keep the acceptor's queue full while the link hangs.
+    std::vector<Tcp::socket> queueFillers;
     std::map<std::uint64_t, std::shared_ptr<Connection>> connections;
     std::uint64_t lastConnection = 0;
     /// Bytes from the client (0) or from the server (1) are held back until the fault ends.
@@ -46,12 +59,19 @@
     std::chrono::milliseconds delay {};
 };
 
-/// Listens on \a endpoint and forwards connections. Throws boost::system::system_error.
-void startProxy(TcpProxy& proxy, const Tcp::endpoint& endpoint);
+/// Listens and forwards connections, once the link is open. Throws boost::system::system_error.
+void startProxy(TcpProxy& proxy);
 
-/// Stops listening and resets all connections.
+/// Stops listening and resets all connections; of a link that hangs only once it heals.
 void stopProxy(TcpProxy& proxy);
 
+/// Harms an open link as \a state says, whether the proxy is started or not. Throws
+/// boost::system::system_error.
+void cutLink(TcpProxy& proxy, LinkState state);
+
+/// Ends cutLink(). Throws boost::system::system_error.
+void healLink(TcpProxy& proxy);
+
 void resetConnections(TcpProxy& proxy);
 
 /// Forwards what was held back while a direction was silent.
--- a/tests/soak/upstreamhost.cpp
+++ b/tests/soak/upstreamhost.cpp
@@ -5,14 +5,16 @@
 void startUpstream(UpstreamHost& upstream)
 {
     StandInSupport::startServing(upstream.httpServer, upstream.listen, upstream.httpServer.handler);
-    startProxy(upstream.way, upstream.publicEndpoint);
+    for (const std::unique_ptr<TcpProxy>& way : upstream.ways)
+        startProxy(*way);
     upstream.up = true;
     upstream.draining = false;
 }
 
 void crashUpstream(UpstreamHost& upstream)
 {
-    stopProxy(upstream.way);
+    for (const std::unique_ptr<TcpProxy>& way : upstream.ways)
+        stopProxy(*way);
     StandInSupport::crash(upstream.httpServer);
     upstream.server.held.clear();
     upstream.server.fences.clear();
--- a/tests/soak/upstreamhost.h
+++ b/tests/soak/upstreamhost.h
@@ -8,23 +8,24 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Soak {
 
 /// An upstream behind a proxy, with its entry in the store.
 struct UpstreamHost {
-    UpstreamHost(boost::asio::io_context& context, Tcp::endpoint own)
+    explicit UpstreamHost(boost::asio::io_context& context)
         : server(context)
         , httpServer(context)
-        , way(context, std::move(own))
         , timer(context)
     {
     }
 
     StandInServer::PlatformServer server;
     StandInSupport::HttpServer httpServer;
-    TcpProxy way;
-    /// Where the proxy listens; the address in the upstream's entry.
+    /// The way of each VM to the upstream, at the public address with the VM's own port offset.
+    std::vector<std::unique_ptr<TcpProxy>> ways;
+    /// The address in the upstream's entry.
     Tcp::endpoint publicEndpoint;
     /// Where the upstream itself listens.
     std::string listen;
@@ -33,6 +34,8 @@
     std::uint64_t sequence = 0;
     bool up = false;
     bool draining = false;
+    /// Reports do not reach the store.
+    bool unreported = false;
     boost::asio::steady_timer timer;
 };
 
--- a/tests/soak/vmprocess.cpp
+++ b/tests/soak/vmprocess.cpp
@@ -22,7 +22,10 @@
     std::string executable = program;
     std::string option = "--settings";
     std::string settings = vm.settingsPath;
-    char* arguments[] = { executable.data(), option.data(), settings.data(), nullptr };
+    std::string offsetOption = "--upstream-port-offset";
+    std::string offset = std::to_string(vm.upstreamPortOffset);
+    char* arguments[]
+        = { executable.data(), option.data(), settings.data(), offsetOption.data(), offset.data(), nullptr };
     char* environment[] = { nullptr };
     const int error = ::posix_spawn(&vm.pid, program.c_str(), &actions, nullptr, arguments, environment);
     ::posix_spawn_file_actions_destroy(&actions);
--- a/tests/soak/vmprocess.h
+++ b/tests/soak/vmprocess.h
@@ -20,6 +20,8 @@
     std::string logPath;
     /// This VM's way to the store.
     std::unique_ptr<TcpProxy> storeWay;
+    /// Added to the ports of upstreams; each VM has its own.
+    std::uint16_t upstreamPortOffset = 0;
     pid_t pid = 0;
     bool paused = false;
     bool stopRequested = false;
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -27,7 +27,8 @@
 constexpr std::uint16_t storeWayPort = 18643;
 constexpr std::uint16_t callersPort = 18641;
 constexpr std::uint16_t readinessPort = 18640;
-constexpr std::uint16_t internalPort = 18620;
+constexpr std::uint16_t firstInternalPort = 18620;
+constexpr std::uint16_t lastInternalPort = 18625;
 constexpr std::uint16_t upstreamPort = 18700;
 constexpr std::uint16_t upstreamWayPort = 18701;
 /// The platform's time after a disturbance until its bounds hold again.
@@ -48,15 +49,17 @@
     return { boost::asio::ip::make_address(address), port };
 }
 
+std::uint16_t portOffsetOf(std::size_t vm) { return static_cast<std::uint16_t>(vm + 1); }
+
 std::string describeSettings(const VmProcess& vm)
 {
-    const std::string port = std::to_string(internalPort);
     return "[self]\nnode_name = \"" + vm.name + "\"\nip = \"" + vm.address
         + "\"\nzone = \"z1\"\nregion = \"r1\"\n[self.limits]\ncpu_share = 0.2\nmemory_mb = 260\nmax_fds = "
           "4100\n"
           "[network]\ninternal_ports = ["
-        + port + "," + port + "]\n[network.listen]\nfront = \"" + vm.address + ":"
-        + std::to_string(callersPort) + "\"\nready = \"" + vm.address + ":" + std::to_string(readinessPort)
+        + std::to_string(firstInternalPort) + "," + std::to_string(lastInternalPort)
+        + "]\n[network.listen]\nfront = \"" + vm.address + ":" + std::to_string(callersPort)
+        + "\"\nready = \"" + vm.address + ":" + std::to_string(readinessPort)
         + "\"\n[network.zones]\nz1 = \"r1\"\n[platform.platform]\naddress = \"" + vm.address + ":"
         + std::to_string(storeWayPort)
         + "\"\n[terms.bounds]\ndrain = \"2500ms\"\ngrace = \"6s\"\napply = \"2500ms\"\nretry_ratio = 0.2\n"
@@ -72,8 +75,10 @@
     vm.settingsPath = world.options.folder + "/" + vm.name + ".toml";
     vm.logPath = world.options.folder + "/" + vm.name + ".log";
     std::ofstream(vm.settingsPath) << describeSettings(vm);
-    vm.storeWay = std::make_unique<TcpProxy>(world.context, endpointOf(addressOf(0, 0), storePort));
-    startProxy(*vm.storeWay, endpointOf(vm.address, storeWayPort));
+    vm.upstreamPortOffset = portOffsetOf(number);
+    vm.storeWay = std::make_unique<TcpProxy>(
+        world.context, endpointOf(vm.address, storeWayPort), endpointOf(addressOf(0, 0), storePort));
+    startProxy(*vm.storeWay);
     if (!startProcess(vm, world.options.program))
         violate(world, "the daemon does not start");
 }
@@ -139,16 +144,18 @@
 void addUpstream(World& world, std::size_t number)
 {
     const std::string address = addressOf(2, number);
-    world.upstreams.push_back(
-        std::make_unique<UpstreamHost>(world.context, endpointOf(address, upstreamPort)));
+    world.upstreams.push_back(std::make_unique<UpstreamHost>(world.context));
     UpstreamHost& upstream = *world.upstreams.back();
     upstream.server.id = "i-" + std::to_string(number + 1);
-    // A third of the upstreams own keys.
-    upstream.server.keyed = number % 3 == 2;
+    upstream.server.keyed = number % 3 == 2 && number / 3 < world.options.maxKeyed;
     upstream.service = upstream.server.keyed ? "keyed" : "plain";
     upstream.server.work = std::chrono::milliseconds(40 + 10 * (number % 7));
     upstream.publicEndpoint = endpointOf(address, upstreamWayPort);
     upstream.listen = address + ":" + std::to_string(upstreamPort);
+    for (std::size_t vm = 0; vm < world.options.vms; ++vm)
+        upstream.ways.push_back(std::make_unique<TcpProxy>(world.context,
+            endpointOf(address, static_cast<std::uint16_t>(upstreamWayPort + portOffsetOf(vm))),
+            endpointOf(address, upstreamPort)));
     const StandInSupport::HttpHandler regular = StandInServer::handlerOf(upstream.server);
     upstream.httpServer.handler
         = [&world, &upstream, regular](const HttpRequest& request, const ReplyFunction& reply) {
@@ -217,7 +224,8 @@
 
 void publishEntry(World& world, UpstreamHost& upstream)
 {
-    StandInStore::putRecord(world.store, "keyed.servers", upstream.server.id, describeUpstream(upstream));
+    if (!upstream.unreported)
+        StandInStore::putRecord(world.store, "keyed.servers", upstream.server.id, describeUpstream(upstream));
 }
 
 void crashAndRestart(World& world, UpstreamHost& upstream, std::chrono::milliseconds downtime)
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -2,6 +2,7 @@
 
 #include <edge/callpool.h>
 #include <soak/grantrecords.h>
+#include <soak/partition.h>
 #include <soak/requestrecord.h>
 #include <soak/soakoptions.h>
 #include <soak/upstreamhost.h>
@@ -44,6 +45,13 @@
     bool storeReturned = false;
     /// When the leader or the store was last disturbed in another way.
     Instant leaderDisturbedAt {};
+    /// Until when faults other than partitions may be in effect.
+    Instant otherFaultUntil {};
+    /// One after the other; only the last may not be healed yet.
+    std::vector<Partition> partitions;
+    /// Faults of the soak itself, which make a run invalid.
+    std::vector<std::string> soakFaults;
+    std::chrono::milliseconds maxLag {};
     unsigned configurationVersion = 1;
     bool trafficEnded = false;
 };
@@ -54,6 +62,7 @@
 void startWorld(World& world);
 
 void publishConfiguration(World& world);
+/// Writes the upstream's entry unless its reports do not reach the store.
 void publishEntry(World& world, UpstreamHost& upstream);
 
 /// Crashes \a upstream and starts it again after \a downtime.
