Count a crash only after a check that tells it from failed links

Callers got 503 poison_held on all VMs for harmless requests after the links of one VM had reset its connections, also when the links were back.

Cause: each lost connection counted at once as a crash of its upstream, on all VMs. Three connections with the same content that were reset together sufficed, and a quarantined request gets no response that would clear it.

A lost connection now starts a check: the upstream is probed, then another one, then the upstream again. It counts for all VMs only if the upstream accepts neither time and the other one accepts in between; in any other order links that fail and return look like a crash. Until then it counts on this VM alone, and not at all if other upstreams were lost during the attempt or the reach is not certain. Losses that stay open count if the store shows that the upstream ended.

Against cuts from a part of the upstreams, which the check can't tell: an answer sent after a counted loss, by the process of before, withdraws it, and a report tells the other VMs. Overlapping connections show that it is the same process.

Weighed and not taken: the start time in the directory as a sign of the same process, as the directory may lag behind a restart; waiting for the reach to be lost alone, as links that fail and return never get there; a delay before any loss counts, as then four requests in a row crash four upstreams.

The case of withdrawals between VMs is new here.

--- a/src/libs/balancing/attemptobservation.h
+++ b/src/libs/balancing/attemptobservation.h
@@ -16,6 +16,8 @@
     std::uint64_t upstream = 0;
     Utils::Instant sentAt {};
     Utils::Instant endedAt {};
+    /// The store has shown that the upstream's process ended.
+    bool isConfirmed = false;
 };
 
 } // namespace Balancing
--- a/src/libs/balancing/poisonrequesttracker.cpp
+++ b/src/libs/balancing/poisonrequesttracker.cpp
@@ -68,18 +68,76 @@
             && counted.sentAt <= attempt.endedAt);
 }
 
+std::optional<LifeSpan> findRefutation(
+    const std::unordered_map<std::uint64_t, LifeSpan>& lives, const AttemptObservation& attempt)
+{
+    const auto found = lives.find(attempt.upstream);
+    if (attempt.isConfirmed || found == lives.end() || !livedThrough(found->second, attempt.endedAt))
+        return std::nullopt;
+    return found->second;
+}
+
+/// Withdraws the crashes at \a upstream that \a life refutes.
+std::vector<AttemptObservation> withdrawRefuted(
+    PoisonRequestTracker& tracker, std::uint64_t upstream, const LifeSpan& life)
+{
+    std::vector<AttemptObservation> withdrawn;
+    const auto lastCrash = tracker.refutableCrashes.find(upstream);
+    // Most responses come from upstreams without a crash.
+    if (lastCrash == tracker.refutableCrashes.end())
+        return withdrawn;
+    if (life.from > lastCrash->second + minRestartTime || livedThrough(life, lastCrash->second))
+        tracker.refutableCrashes.erase(lastCrash);
+    for (auto it = tracker.suspects.begin(); it != tracker.suspects.end(); ++it) {
+        std::erase_if(it->second.crashes, [&](const AttemptObservation& crash) {
+            const bool isRefuted
+                = crash.upstream == upstream && !crash.isConfirmed && livedThrough(life, crash.endedAt);
+            if (isRefuted)
+                withdrawn.push_back(crash);
+            return isRefuted;
+        });
+    }
+    return withdrawn;
+}
+
+void forgetOldLives(std::unordered_map<std::uint64_t, LifeSpan>& lives, Utils::Instant now)
+{
+    if (lives.size() < maxLives)
+        return;
+    std::erase_if(lives, [now](const std::pair<const std::uint64_t, LifeSpan>& entry) {
+        return now - entry.second.until > suspectRetention;
+    });
+}
+
+/// Remembers that a later answer of the upstream may withdraw the crash.
+void recordRefutable(PoisonRequestTracker& tracker, const AttemptObservation& crash)
+{
+    if (tracker.refutableCrashes.size() >= maxLives)
+        std::erase_if(
+            tracker.refutableCrashes, [&crash](const std::pair<const std::uint64_t, Utils::Instant>& entry) {
+                return crash.endedAt - entry.second > suspectRetention;
+            });
+    Utils::Instant& lastCrash = tracker.refutableCrashes[crash.upstream];
+    lastCrash = std::max(lastCrash, crash.endedAt);
+}
+
 } // namespace Internal
 
 bool recordCrash(PoisonRequestTracker& tracker, const AttemptObservation& attempt)
 {
+    if (findRefutation(tracker, attempt))
+        return false;
     Internal::Suspect& suspect = Internal::findOrAddSuspect(tracker, attempt);
     if (suspect.respondedAt && attempt.endedAt <= *suspect.respondedAt)
         return false;
-    const bool isCounted = std::any_of(suspect.crashes.begin(), suspect.crashes.end(),
+    const auto same = std::find_if(suspect.crashes.begin(), suspect.crashes.end(),
         [&attempt](const AttemptObservation& counted) { return Internal::isSameCrash(counted, attempt); });
-    if (isCounted)
+    if (same != suspect.crashes.end()) {
+        same->isConfirmed = same->isConfirmed || attempt.isConfirmed;
         return false;
+    }
     suspect.crashes.push_back(attempt);
+    Internal::recordRefutable(tracker, attempt);
     suspect.changedAt = std::max(suspect.changedAt, attempt.endedAt);
     return true;
 }
@@ -97,6 +155,45 @@
     return cleared > 0;
 }
 
+std::vector<AttemptObservation> recordLife(
+    PoisonRequestTracker& tracker, std::uint64_t upstream, Utils::Instant connectedAt, Utils::Instant sentAt)
+{
+    Internal::forgetOldLives(tracker.lives, sentAt);
+    LifeSpan& life = tracker.lives[upstream];
+    extendLife(life, connectedAt, sentAt);
+    return Internal::withdrawRefuted(tracker, upstream, life);
+}
+
+std::vector<AttemptObservation> recordReportedLife(
+    PoisonRequestTracker& tracker, std::uint64_t upstream, const LifeSpan& life)
+{
+    Internal::forgetOldLives(tracker.reportedLives, life.until);
+    tracker.reportedLives[upstream] = life;
+    return Internal::withdrawRefuted(tracker, upstream, life);
+}
+
+std::optional<LifeSpan> findRefutation(const PoisonRequestTracker& tracker, const AttemptObservation& attempt)
+{
+    const std::optional<LifeSpan> own = Internal::findRefutation(tracker.lives, attempt);
+    return own ? own : Internal::findRefutation(tracker.reportedLives, attempt);
+}
+
+bool isCounted(const PoisonRequestTracker& tracker, const AttemptObservation& attempt)
+{
+    const auto found = tracker.suspects.find(attempt.fingerprint);
+    return found != tracker.suspects.end()
+        && std::any_of(found->second.crashes.begin(), found->second.crashes.end(),
+            [&attempt](const AttemptObservation& crash) { return crash.id == attempt.id; });
+}
+
+void withdrawCrash(PoisonRequestTracker& tracker, std::uint64_t fingerprint, std::uint64_t id)
+{
+    const auto found = tracker.suspects.find(fingerprint);
+    if (found != tracker.suspects.end())
+        std::erase_if(
+            found->second.crashes, [id](const AttemptObservation& crash) { return crash.id == id; });
+}
+
 std::size_t countCrashes(const PoisonRequestTracker& tracker, std::uint64_t fingerprint)
 {
     const auto found = tracker.suspects.find(fingerprint);
--- a/src/libs/balancing/poisonrequesttracker.h
+++ b/src/libs/balancing/poisonrequesttracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <balancing/attemptobservation.h>
+#include <balancing/lifespan.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -22,6 +23,12 @@
         Utils::Instant changedAt {};
     };
     std::unordered_map<std::uint64_t, Suspect> suspects;
+    /// The last counted crash of each upstream that its life may still refute. Key: hash of its id.
+    std::unordered_map<std::uint64_t, Utils::Instant> refutableCrashes;
+    /// What this VM has seen of each upstream's process. Key: hash of the upstream's id.
+    std::unordered_map<std::uint64_t, LifeSpan> lives;
+    /// The last that other VMs reported, kept apart as its times are inexact.
+    std::unordered_map<std::uint64_t, LifeSpan> reportedLives;
 };
 
 /// Number of crashes after which a request is quarantined.
@@ -33,15 +40,38 @@
 /// quarantine.
 inline constexpr Utils::Duration suspectRetention = std::chrono::minutes(10);
 inline constexpr std::size_t maxSuspects = 4096;
+/// Upstreams whose life is remembered; beyond that, those that have not answered for suspectRetention are
+/// forgotten.
+inline constexpr std::size_t maxLives = 4096;
 
 /// Records that the upstream crashed during the attempt. Returns false if the crash has been counted before:
-/// an attempt that had begun when its upstream crashed during another one ended with the same crash.
+/// an attempt that had begun when its upstream crashed during another one ended with the same crash; or if
+/// its upstream is known to have lived on and the store has not shown the contrary.
 bool recordCrash(PoisonRequestTracker& tracker, const AttemptObservation& attempt);
 
 /// Records that the upstream responded, which shows that the request does not crash upstreams. Returns false
 /// if no crash was counted against the request.
 bool recordResponse(PoisonRequestTracker& tracker, const AttemptObservation& attempt);
 
+/// Records that the upstream with the hash \a upstream answered a request that this VM sent at \a sentAt on a
+/// connection of \a connectedAt. Returns the crashes that this withdraws.
+std::vector<AttemptObservation> recordLife(
+    PoisonRequestTracker& tracker, std::uint64_t upstream, Utils::Instant connectedAt, Utils::Instant sentAt);
+
+/// Records what another VM has seen of the upstream's process. Returns the crashes that this withdraws.
+std::vector<AttemptObservation> recordReportedLife(
+    PoisonRequestTracker& tracker, std::uint64_t upstream, const LifeSpan& life);
+
+/// Returns what this VM knows of the upstream's life if that shows that it did not crash in \a attempt.
+std::optional<LifeSpan> findRefutation(
+    const PoisonRequestTracker& tracker, const AttemptObservation& attempt);
+
+/// Whether \a attempt itself is counted as a crash.
+bool isCounted(const PoisonRequestTracker& tracker, const AttemptObservation& attempt);
+
+/// Withdraws the crash with the \a id of an observation.
+void withdrawCrash(PoisonRequestTracker& tracker, std::uint64_t fingerprint, std::uint64_t id);
+
 /// Number of crashes that are counted against \a fingerprint.
 std::size_t countCrashes(const PoisonRequestTracker& tracker, std::uint64_t fingerprint);
 
--- a/src/libs/edge/crashreporting.h
+++ b/src/libs/edge/crashreporting.h
@@ -30,6 +30,9 @@
     /// Number of first crashes that may be reported now, as of tokensAt.
     double tokens = 0;
     Utils::Instant tokensAt {};
+    /// The same for reports that withdraw crashes.
+    double lifeTokens = 0;
+    Utils::Instant lifeTokensAt {};
 };
 
 } // namespace Edge
--- a/src/libs/edge/crashreports.cpp
+++ b/src/libs/edge/crashreports.cpp
@@ -1,5 +1,6 @@
 #include <edge/clock.h>
 #include <edge/crashreports.h>
+#include <edge/losschecks.h>
 #include <edge/relaylinks.h>
 #include <edge/relaysource.h>
 #include <edge/requestlog.h>
@@ -33,6 +34,9 @@
 /// First crashes of requests that a VM reports; later ones of the same request are always reported.
 constexpr double reportsPerSecond = 1;
 constexpr double maxReportBurst = 5;
+/// Reports of upstreams that live; each clears all requests of its upstream.
+constexpr double lifeReportsPerSecond = 10;
+constexpr double maxLifeReportBurst = 20;
 constexpr std::size_t maxDatagramTargets = 256;
 constexpr std::size_t maxQueuedReports = 1024;
 /// Upstreams that terminate silently are missing in the store a few heartbeats later, or are back by then.
@@ -63,13 +67,19 @@
 
 AttemptObservation toObservation(const Relay::CrashReport& report, Utils::Instant at)
 {
-    return { report.id, report.fingerprint, report.upstream, at - report.sentAge, at - report.endedAge };
+    return { report.id, report.fingerprint, report.upstream, at - report.sentAge, at - report.endedAge,
+        report.kind == Kind::ConfirmedCrash };
+}
+
+std::uint64_t makeObservationId(Node& node)
+{
+    return Utils::stableHash(std::to_string(++node.crashReporting.lastReportNumber), node.incarnation);
 }
 
 AttemptObservation observeLastAttempt(Node& node, const Exchange& exchange)
 {
     AttemptObservation attempt;
-    attempt.id = Utils::stableHash(std::to_string(++node.crashReporting.lastReportNumber), node.incarnation);
+    attempt.id = makeObservationId(node);
     attempt.fingerprint = exchange.fingerprint;
     attempt.upstream = Utils::stableHash(exchange.lastUpstream.value);
     attempt.sentAt = exchange.attemptStartedAt;
@@ -77,6 +87,18 @@
     return attempt;
 }
 
+bool tryConsumeToken(
+    double& tokens, Utils::Instant& tokensAt, double perSecond, double maxTokens, Utils::Instant at)
+{
+    const double earned = std::chrono::duration<double>(at - tokensAt).count() * perSecond;
+    tokens = std::min(tokens + std::max(earned, 0.0), maxTokens);
+    tokensAt = std::max(tokensAt, at);
+    if (tokens < 1)
+        return false;
+    tokens -= 1;
+    return true;
+}
+
 /// Whether one more first crash of a request may be reported now.
 ///
 /// Load pattern: many upstreams or links fail at once, and each VM loses hundreds of connections with other
@@ -84,25 +106,72 @@
 bool tryConsumeReport(Node& node, Utils::Instant at)
 {
     CrashReporting& reporting = node.crashReporting;
-    const double earned = std::chrono::duration<double>(at - reporting.tokensAt).count() * reportsPerSecond;
-    reporting.tokens = std::min(reporting.tokens + std::max(earned, 0.0), maxReportBurst);
-    reporting.tokensAt = std::max(reporting.tokensAt, at);
-    if (reporting.tokens < 1)
-        return false;
-    reporting.tokens -= 1;
-    return true;
+    return tryConsumeToken(reporting.tokens, reporting.tokensAt, reportsPerSecond, maxReportBurst, at);
 }
 
-void recordObservedCrash(Node& node, const AttemptObservation& attempt, const Utils::UpstreamId& upstream,
+/// Tells the other VMs that an upstream to which they may have lost connections lives.
+void reportLife(Node& node, std::uint64_t upstream, const Balancing::LifeSpan& life)
+{
+    CrashReporting& reporting = node.crashReporting;
+    if (!tryConsumeToken(
+            reporting.lifeTokens, reporting.lifeTokensAt, lifeReportsPerSecond, maxLifeReportBurst, now()))
+        return;
+    AttemptObservation observation;
+    observation.id = makeObservationId(node);
+    observation.upstream = upstream;
+    observation.sentAt = life.from;
+    observation.endedAt = life.until;
+    queueReport(node, Kind::Life, observation, true);
+}
+
+/// Whether other VMs know \a crash. Those of losses that are being checked are not reported yet.
+bool isShared(const Node& node, const AttemptObservation& crash)
+{
+    const auto matches = [&crash](const AttemptObservation& attempt) { return attempt.id == crash.id; };
+    return std::none_of(
+        node.traffic.lossChecks.begin(), node.traffic.lossChecks.end(), [&matches](const auto& entry) {
+            return std::any_of(entry.second->attempts.begin(), entry.second->attempts.end(), matches);
+        });
+}
+
+void reportCrash(Node& node, const AttemptObservation& attempt)
+{
+    const std::size_t crashes = Balancing::countCrashes(node.traffic.poisonRequests, attempt.fingerprint);
+    if (crashes > 1 || tryConsumeReport(node, now()))
+        queueReport(node, attempt.isConfirmed ? Kind::ConfirmedCrash : Kind::Crash, attempt, true);
+}
+
+void recordConfirmedCrash(Node& node, AttemptObservation attempt, const Utils::UpstreamId& upstream,
     const Utils::RequestId& request)
 {
+    attempt.isConfirmed = true;
     Balancing::PoisonRequestTracker& tracker = node.traffic.poisonRequests;
     if (!Balancing::recordCrash(tracker, attempt))
         return;
     logCrash(request, attempt.fingerprint, upstream, Balancing::countCrashes(tracker, attempt.fingerprint));
-    const std::size_t crashes = Balancing::countCrashes(tracker, attempt.fingerprint);
-    if (crashes > 1 || tryConsumeReport(node, attempt.endedAt))
-        queueReport(node, Kind::Crash, attempt, true);
+    reportCrash(node, attempt);
+}
+
+/// Whether connections to several upstreams were lost during \a attempt: links may have failed.
+bool isAmongOtherLosses(
+    const Node& node, const Utils::UpstreamId& upstream, const AttemptObservation& attempt)
+{
+    return std::any_of(
+        node.traffic.lossChecks.begin(), node.traffic.lossChecks.end(), [&](const auto& entry) {
+            return entry.first != upstream
+                && std::any_of(entry.second->attempts.begin(), entry.second->attempts.end(),
+                    [&attempt](const AttemptObservation& other) { return attempt.sentAt <= other.endedAt; });
+        });
+}
+
+void keepUnresolved(Node& node, const UnresolvedAttempt& attempt)
+{
+    std::deque<UnresolvedAttempt>& attempts = node.traffic.unresolvedAttempts;
+    while (!attempts.empty()
+        && (attempts.size() >= maxUnresolvedAttempts
+            || now() - attempts.front().endedAt > unresolvedRetention))
+        attempts.pop_front();
+    attempts.push_back(attempt);
 }
 
 /// Links to the source and to subscribers that have been set up.
@@ -207,6 +276,18 @@
     Balancing::PoisonRequestTracker& tracker = node.traffic.poisonRequests;
     if (kind == Kind::Response)
         return Balancing::recordResponse(tracker, attempt);
+    if (kind == Kind::Life) {
+        const std::size_t withdrawn
+            = Balancing::recordReportedLife(tracker, attempt.upstream, { attempt.sentAt, attempt.endedAt })
+                  .size();
+        if (withdrawn > 0)
+            logCrashesWithdrawn(attempt.upstream, withdrawn, true);
+        return withdrawn > 0;
+    }
+    if (const std::optional<Balancing::LifeSpan> life = Balancing::findRefutation(tracker, attempt)) {
+        reportLife(node, attempt.upstream, *life);
+        return false;
+    }
     if (!Balancing::recordCrash(tracker, attempt))
         return false;
     logReportedCrash(attempt.fingerprint, Balancing::countCrashes(tracker, attempt.fingerprint), age);
@@ -219,7 +300,7 @@
     Relay::CrashReportFrame frame;
     for (const AttemptObservation& crash :
         Balancing::collectCrashes(node.traffic.poisonRequests, maxSharedSuspects))
-        frame.reports.push_back(toReport(Kind::Crash, crash, at));
+        frame.reports.push_back(toReport(crash.isConfirmed ? Kind::ConfirmedCrash : Kind::Crash, crash, at));
     if (!frame.reports.empty())
         sendFrame(node, link, Relay::encodeFrame(frame));
 }
@@ -236,21 +317,56 @@
     Internal::receiveDatagram(node);
 }
 
-void recordUpstreamCrash(Node& node, const Exchange& exchange)
+void recordConnectionLost(Node& node, const Exchange& exchange)
 {
-    Internal::recordObservedCrash(node, Internal::observeLastAttempt(node, exchange), exchange.lastUpstream,
-        exchange.callerHeaders.requestId);
+    const Balancing::AttemptObservation attempt = Internal::observeLastAttempt(node, exchange);
+    const Utils::UpstreamId& upstream = exchange.lastUpstream;
+    Balancing::PoisonRequestTracker& tracker = node.traffic.poisonRequests;
+    const bool counts = node.reachProbing.reach.state == Balancing::ReachState::Reaching
+        && !Internal::isAmongOtherLosses(node, upstream, attempt);
+    if (counts && Balancing::recordCrash(tracker, attempt))
+        logCrash(exchange.callerHeaders.requestId, attempt.fingerprint, upstream,
+            Balancing::countCrashes(tracker, attempt.fingerprint));
+    startLossCheck(node, upstream, attempt);
+}
+
+void concludeLoss(Node& node, const LossCheck& check, Balancing::LossVerdict verdict)
+{
+    Balancing::PoisonRequestTracker& tracker = node.traffic.poisonRequests;
+    for (const Balancing::AttemptObservation& attempt : check.attempts) {
+        const bool crashed = verdict == Balancing::LossVerdict::Crashed;
+        if (!crashed) {
+            Balancing::withdrawCrash(tracker, attempt.fingerprint, attempt.id);
+            Internal::keepUnresolved(
+                node, { check.upstream, attempt.fingerprint, attempt.sentAt, attempt.endedAt });
+        } else if (Balancing::recordCrash(tracker, attempt) || Balancing::isCounted(tracker, attempt)) {
+            Internal::reportCrash(node, attempt);
+        }
+    }
+    logLossChecked(check, verdict);
+    if (verdict == Balancing::LossVerdict::Lives)
+        recordUpstreamLife(node, check.upstream, check.probedAt, check.probedAt);
+}
+
+void recordUpstreamLife(
+    Node& node, const Utils::UpstreamId& upstream, Utils::Instant connectedAt, Utils::Instant sentAt)
+{
+    Balancing::PoisonRequestTracker& tracker = node.traffic.poisonRequests;
+    const std::uint64_t hash = Utils::stableHash(upstream.value);
+    const std::vector<Balancing::AttemptObservation> withdrawn
+        = Balancing::recordLife(tracker, hash, connectedAt, sentAt);
+    const bool isShared = std::any_of(withdrawn.begin(), withdrawn.end(),
+        [&node](const Balancing::AttemptObservation& crash) { return Internal::isShared(node, crash); });
+    if (isShared)
+        Internal::reportLife(node, hash, tracker.lives.at(hash));
+    if (!withdrawn.empty())
+        logCrashesWithdrawn(hash, withdrawn.size(), false);
 }
 
 void recordAbandonedAttempt(Node& node, const Exchange& exchange)
 {
-    std::deque<UnresolvedAttempt>& attempts = node.traffic.unresolvedAttempts;
-    const Utils::Instant at = now();
-    while (!attempts.empty()
-        && (attempts.size() >= Internal::maxUnresolvedAttempts
-            || at - attempts.front().endedAt > Internal::unresolvedRetention))
-        attempts.pop_front();
-    attempts.push_back({ exchange.lastUpstream, exchange.fingerprint, exchange.attemptStartedAt, at });
+    Internal::keepUnresolved(
+        node, { exchange.lastUpstream, exchange.fingerprint, exchange.attemptStartedAt, now() });
 }
 
 void recordUpstreamVanished(Node& node, const Utils::UpstreamId& upstream)
@@ -261,18 +377,18 @@
         if (attempt.upstream != upstream || at - attempt.endedAt > Internal::unresolvedRetention)
             continue;
         Balancing::AttemptObservation observation;
-        observation.id
-            = Utils::stableHash(std::to_string(++node.crashReporting.lastReportNumber), node.incarnation);
+        observation.id = Internal::makeObservationId(node);
         observation.fingerprint = attempt.fingerprint;
         observation.upstream = Utils::stableHash(upstream.value);
         observation.sentAt = attempt.sentAt;
         observation.endedAt = attempt.endedAt;
-        Internal::recordObservedCrash(node, observation, upstream, {});
+        Internal::recordConfirmedCrash(node, observation, upstream, {});
     }
     for (auto it = node.traffic.exchanges.begin(); it != node.traffic.exchanges.end(); ++it) {
         const Exchange& exchange = *it->second;
         if (exchange.connectionId != 0 && exchange.lastUpstream == upstream)
-            recordUpstreamCrash(node, exchange);
+            Internal::recordConfirmedCrash(node, Internal::observeLastAttempt(node, exchange), upstream,
+                exchange.callerHeaders.requestId);
     }
     std::erase_if(
         attempts, [&upstream](const UnresolvedAttempt& attempt) { return attempt.upstream == upstream; });
--- a/src/libs/edge/crashreports.h
+++ b/src/libs/edge/crashreports.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <balancing/lossverdict.h>
 #include <edge/node.h>
 #include <relay/crashreportframe.h>
 
@@ -10,8 +11,16 @@
 /// Starts receiving datagrams. Throws boost::system::system_error if the address can't be bound.
 void startCrashReports(Node& node);
 
-/// Records that the upstream of the last attempt of \a exchange crashed during the attempt.
-void recordUpstreamCrash(Node& node, const Exchange& exchange);
+/// Records that the connection of the last attempt of \a exchange was lost. It counts as a crash of the
+/// upstream unless there is evidence to the contrary.
+void recordConnectionLost(Node& node, const Exchange& exchange);
+
+/// Counts the attempts of \a check, withdraws them, or keeps them as unresolved.
+void concludeLoss(Node& node, const LossCheck& check, Balancing::LossVerdict verdict);
+
+/// Records that \a upstream answered a request sent at \a sentAt on a connection of \a connectedAt.
+void recordUpstreamLife(
+    Node& node, const Utils::UpstreamId& upstream, Utils::Instant connectedAt, Utils::Instant sentAt);
 
 /// Remembers that the last attempt of \a exchange was given up while it may have been running.
 void recordAbandonedAttempt(Node& node, const Exchange& exchange);
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -320,7 +320,7 @@
 void trackPoisonRequest(Node& node, const Exchange& exchange, AttemptOutcome outcome)
 {
     if (outcome == AttemptOutcome::ConnectionLost)
-        recordUpstreamCrash(node, exchange);
+        recordConnectionLost(node, exchange);
     if (outcome == AttemptOutcome::TimedOut)
         recordAbandonedAttempt(node, exchange);
     if (outcome == AttemptOutcome::Responded)
--- a/src/libs/edge/quarantinerecords.cpp
+++ b/src/libs/edge/quarantinerecords.cpp
@@ -30,6 +30,8 @@
 constexpr Utils::Duration recordTimeout = std::chrono::milliseconds(1200);
 /// Time between two attempts to read or write the records.
 constexpr Utils::Duration recordRetryInterval = std::chrono::seconds(1);
+/// Records are read by every new leader, so a crash is written only when it is likely not to be withdrawn.
+constexpr Utils::Duration settleTime = std::chrono::milliseconds(1500);
 constexpr std::size_t maxRecordsPerAppend = 64;
 /// Crashes of a record beyond this only make its quarantine longer.
 constexpr std::size_t maxRecordedCrashes = 16;
@@ -131,7 +133,9 @@
         const std::size_t crashes = it->second.crashes.size();
         const auto written = node.quarantineRecords.written.find(it->first);
         const bool isWritten = written != node.quarantineRecords.written.end() && written->second >= crashes;
-        if (crashes < Balancing::crashesToQuarantine || isWritten || records.size() >= maxRecordsPerAppend)
+        const bool isSettled = at - it->second.changedAt >= settleTime;
+        if (crashes < Balancing::crashesToQuarantine || isWritten || !isSettled
+            || records.size() >= maxRecordsPerAppend)
             continue;
         records.push_back(
             { it->first, crashes, timeOfDayMs() - Utils::toMilliseconds(at - it->second.changedAt) });
--- a/src/libs/edge/requestlog.cpp
+++ b/src/libs/edge/requestlog.cpp
@@ -72,6 +72,21 @@
             { "fingerprint", formatFingerprint(fingerprint) } });
 }
 
+void logLossChecked(const LossCheck& check, Balancing::LossVerdict verdict)
+{
+    Logging::write(Logging::Level::Info, "loss_checked",
+        { { "upstream", check.upstream.value }, { "attempts", check.attempts.size() },
+            { "verdict", Utils::enumName(Balancing::lossVerdictNames, verdict) },
+            { "fingerprint", formatFingerprint(check.attempts.front().fingerprint) } });
+}
+
+void logCrashesWithdrawn(std::uint64_t upstream, std::size_t crashes, bool reported)
+{
+    Logging::write(Logging::Level::Warning, "crashes_withdrawn",
+        { { "upstream_hash", formatFingerprint(upstream) }, { "crashes", crashes },
+            { "reported", reported } });
+}
+
 void logReportedCrash(std::uint64_t fingerprint, std::size_t crashes, Utils::Duration age)
 {
     Logging::write(Logging::Level::Info, "crash_learned",
--- a/src/libs/edge/requestlog.h
+++ b/src/libs/edge/requestlog.h
@@ -32,6 +32,14 @@
 void logCrash(const Utils::RequestId& request, std::uint64_t fingerprint, const Utils::UpstreamId& upstream,
     std::size_t crashes);
 
+/// Logs what a check of lost connections to an upstream found.
+void logLossChecked(const LossCheck& check, Balancing::LossVerdict verdict);
+
+/// Logs that crashes of an upstream are no longer counted, as it lives.
+/// \param upstream hash of its id.
+/// \param reported whether another VM has seen it live.
+void logCrashesWithdrawn(std::uint64_t upstream, std::size_t crashes, bool reported);
+
 /// Logs a crash that another VM has reported.
 /// \param age time since the crash.
 void logReportedCrash(std::uint64_t fingerprint, std::size_t crashes, Utils::Duration age);
--- a/src/libs/edge/traffic.h
+++ b/src/libs/edge/traffic.h
@@ -6,6 +6,7 @@
 #include <balancing/servicestats.h>
 #include <edge/callerconnection.h>
 #include <edge/exchange.h>
+#include <edge/losscheck.h>
 #include <edge/upstreamconnection.h>
 #include <edge/unresolvedattempt.h>
 #include <edge/upstreamstate.h>
@@ -35,6 +36,8 @@
     Balancing::PoisonRequestTracker poisonRequests;
     /// Attempts that were given up recently, the oldest first.
     std::deque<UnresolvedAttempt> unresolvedAttempts;
+    /// Checks of lost connections in progress.
+    std::unordered_map<Utils::UpstreamId, std::shared_ptr<LossCheck>> lossChecks;
     /// Total size of the request bodies in memory, in bytes.
     std::uint64_t bufferedBodyBytes = 0;
     /// Memory of responses that are being received or sent to callers, in bytes.
--- a/src/libs/edge/upstreamconnection.h
+++ b/src/libs/edge/upstreamconnection.h
@@ -44,6 +44,7 @@
     /// Some of the request may have reached the upstream.
     bool requestHandedOver = false;
     bool requestWritten = false;
+    Utils::Instant connectedAt {};
     /// When the attempt in progress began.
     Utils::Instant startedAt {};
     Utils::Instant sentAt {};
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -214,6 +214,8 @@
     const AttemptOutcome outcome = isForOtherRequest ? AttemptOutcome::ConnectionLost
                                                      : outcomeForStatus(response.result_int(), serverHeaders);
     recordAttemptOutcome(node, *connection, outcome, serverHeaders);
+    if (!isForOtherRequest && !isFromOtherUpstream(serverHeaders, connection->upstream))
+        recordUpstreamLife(node, connection->upstream, connection->connectedAt, connection->sentAt);
     keepOrCloseConnection(
         node, connection, canKeepAlive, serverHeaders.keepAliveTimeout.value_or(defaultKeepAliveTimeout));
     if (outcome == AttemptOutcome::Misdirected && isFromOtherUpstream(serverHeaders, connection->upstream))
@@ -314,6 +316,7 @@
                 endAttempt(node, connection, AttemptOutcome::NotConnected);
                 return;
             }
+            connection->connectedAt = now();
             configureSocket(connection->socket);
             armTimer(node, connection, timeout, AttemptOutcome::TimedOut);
             sendRequest(node, connection, exchange);
--- a/src/libs/relay/crashreport.h
+++ b/src/libs/relay/crashreport.h
@@ -13,6 +13,10 @@
         Crash,
         /// An upstream responded to the request.
         Response,
+        /// As Crash, and the store has shown that the upstream's process ended.
+        ConfirmedCrash,
+        /// The upstream's process lived from sentAge to endedAge: crashes in between are withdrawn.
+        Life,
     };
 
     Kind kind = Kind::Crash;
--- a/src/libs/relay/framecodec.cpp
+++ b/src/libs/relay/framecodec.cpp
@@ -139,7 +139,7 @@
 {
     CrashReportFrame frame;
     for (const Generated::CrashReport* report : *packed.reports()) {
-        if (report->kind() > static_cast<std::uint8_t>(CrashReport::Kind::Response))
+        if (report->kind() > static_cast<std::uint8_t>(CrashReport::Kind::Life))
             return leaf::new_error(RelayError::Malformed);
         frame.reports.push_back({ static_cast<CrashReport::Kind>(report->kind()), report->id(),
             report->fingerprint(), report->upstream(), std::chrono::milliseconds(report->sent_age_ms()),
--- a/tests/auto/balancing/tst_poisonmemory.cpp
+++ b/tests/auto/balancing/tst_poisonmemory.cpp
@@ -1,3 +1,4 @@
+#include <balancing/lossevidence.h>
 #include <balancing/poisonrequesttracker.h>
 
 #include <catch2/catch.hpp>
@@ -128,3 +129,94 @@
     for (const AttemptObservation& crash : shared)
         CHECK(crash.fingerprint == fingerprint);
 }
+
+TEST_CASE("A lost connection counts as a crash only if others can be reached and the upstream cannot",
+    "[poisonmemory]")
+{
+    struct LossRow {
+        const char* name;
+        LossEvidence evidence;
+        LossVerdict verdict;
+    };
+    const LossRow row = GENERATE(values<LossRow>({
+        { "refused, another one accepts, refused", { std::nullopt, true }, LossVerdict::Crashed },
+        { "refused, and so are others", { std::nullopt, false }, LossVerdict::Unknown },
+        { "accepted at once", { Utils::Duration(20ms), false }, LossVerdict::Lives },
+        { "accepted after another one", { Utils::Duration(100ms), true }, LossVerdict::Lives },
+        { "accepted when it may have restarted", { minRestartTime, true }, LossVerdict::Unknown },
+    }));
+    INFO(row.name);
+    CHECK(judgeLoss(row.evidence) == row.verdict);
+}
+
+TEST_CASE("An answer of the process that is taken for crashed withdraws the crash", "[poisonmemory]")
+{
+    struct Answer {
+        Utils::Duration connectedAfter;
+        Utils::Duration sentAfter;
+    };
+    struct LifeRow {
+        const char* name;
+        std::vector<Answer> answers;
+        bool isConfirmed;
+        bool withdrawn;
+    };
+    // The connection is lost at 100 ms.
+    const LifeRow row = GENERATE(values<LifeRow>({
+        { "on a connection from before", { { -5s, 200ms } }, false, true },
+        { "to a request from before", { { -5s, 50ms } }, false, false },
+        { "to a request sent at the loss", { { -5s, 100ms } }, false, false },
+        { "on a connection opened sooner than it restarts", { { 300ms, 310ms } }, false, true },
+        { "on a connection opened when it may have restarted", { { 500ms, 510ms } }, false, false },
+        { "on connections that overlap", { { -5s, 90ms }, { 50ms, 900ms } }, false, true },
+        { "on connections with a gap in which it may have restarted", { { -5s, 50ms }, { 800ms, 900ms } },
+            false, false },
+        { "on a connection from before, and the store shows a restart", { { -5s, 200ms } }, true, false },
+    }));
+    INFO(row.name);
+    constexpr std::uint64_t upstream = 4;
+    AttemptObservation crash = attemptAt(upstream, start);
+    crash.isConfirmed = row.isConfirmed;
+    PoisonRequestTracker learnsLater;
+    REQUIRE(recordCrash(learnsLater, crash));
+    REQUIRE(recordCrash(learnsLater, attemptAt(upstream + 1, start)));
+    std::vector<AttemptObservation> withdrawn;
+    PoisonRequestTracker knewBefore;
+    for (const Answer& answer : row.answers) {
+        withdrawn
+            = recordLife(learnsLater, upstream, start + answer.connectedAfter, start + answer.sentAfter);
+        recordLife(knewBefore, upstream, start + answer.connectedAfter, start + answer.sentAfter);
+    }
+    CHECK(withdrawn.size() == (row.withdrawn ? 1 : 0));
+    CHECK(countCrashes(learnsLater, fingerprint) == (row.withdrawn ? 1 : 2));
+    CHECK(recordCrash(knewBefore, crash) != row.withdrawn);
+    CHECK(findRefutation(knewBefore, crash).has_value() == row.withdrawn);
+    PoisonRequestTracker other;
+    REQUIRE(recordCrash(other, crash));
+    const std::size_t withdrawnByReport
+        = recordReportedLife(other, upstream, learnsLater.lives.at(upstream)).size();
+    CHECK(withdrawnByReport == (row.withdrawn ? 1 : 0));
+    // The same crash, reported late or again.
+    CHECK(recordCrash(other, crash) == false);
+}
+
+TEST_CASE("A request that crashes the process that answered before counts again", "[poisonmemory]")
+{
+    PoisonRequestTracker tracker;
+    recordLife(tracker, 1, start - 5s, start + 2s);
+    CHECK_FALSE(recordCrash(tracker, attemptAt(1, start)));
+    CHECK(recordCrash(tracker, attemptAt(1, start + 3s)));
+    CHECK(recordLife(tracker, 1, start + 5s, start + 6s).empty());
+    CHECK(countCrashes(tracker, fingerprint) == 1);
+}
+
+TEST_CASE("A crash that the store has shown counts although a loss was withdrawn", "[poisonmemory]")
+{
+    PoisonRequestTracker tracker;
+    AttemptObservation crash = attemptAt(1, start);
+    REQUIRE(recordCrash(tracker, crash));
+    withdrawCrash(tracker, crash.fingerprint, crash.id);
+    CHECK(countCrashes(tracker, fingerprint) == 0);
+    crash.isConfirmed = true;
+    CHECK(recordCrash(tracker, crash));
+}
--- a/tests/auto/edge/tst_falsequarantine.cpp
+++ b/tests/auto/edge/tst_falsequarantine.cpp
@@ -90,6 +90,14 @@
     }
 }
 
+std::size_t countCrashes(const Edge::Service& vm)
+{
+    std::size_t crashes = 0;
+    for (const auto& [fingerprint, suspect] : vm.node.traffic.poisonRequests.suspects)
+        crashes += suspect.crashes.size();
+    return crashes;
+}
+
 struct Row {
     const char* name;
     /// Whether new connections are refused for the first waves.
@@ -216,3 +224,55 @@
     CHECK(callers.refused == 0);
     CHECK(runUntil(environment, [&callers] { return callers.ended == callers.sent; }));
 }
+
+TEST_CASE("Crashes that a VM counts at upstreams which answer other VMs are withdrawn on all VMs",
+    "[falsequarantine]")
+{
+    TestEnvironment environment;
+    HarmlessCallers callers(environment);
+    for (unsigned index = 1; index <= 8; ++index)
+        addUpstream(environment, "i-" + std::to_string(index), "plain").standIn.work = 20ms;
+    startVms(environment);
+    Edge::Service& vm = *environment.vms[cutVm];
+    sendWave(callers, 12);
+    runFor(environment, 200ms);
+    const auto setWork = [&environment](std::chrono::milliseconds work) {
+        for (const std::unique_ptr<TestUpstream>& upstream : environment.upstreams)
+            upstream->standIn.work = work;
+    };
+    setWork(400ms);
+    // Only the cut VM sends these, and all of them are lost, so that no response clears them.
+    std::size_t lost = 0;
+    for (unsigned request = 0; request < 12; ++request) {
+        Platform::HttpRequest once(http::verb::post, "/unsafe/once", 11);
+        once.set(http::field::host, "a.example");
+        once.set("X-Request-Id", "once" + std::to_string(request));
+        once.set("X-Deadline-Ms", "1000");
+        once.prepare_payload();
+        Edge::startCall(environment.callPool, vm.node.settings.callerEndpoint, std::move(once), 3s,
+            [&lost](const Edge::CallResponse& response) { lost += response.status == 502 ? 1 : 0; });
+    }
+    runFor(environment, 10ms);
+    for (auto& [id, entry] : vm.node.clusterView.directory.entries) {
+        if (id.value <= "i-4")
+            entry.record.endpoint.port = unusedPortOffset;
+    }
+    setWork(20ms);
+    resetConnections(vm, [](const Utils::UpstreamId& upstream) { return upstream.value <= "i-4"; });
+    CHECK(runUntil(
+        environment, [&vm] { return countCrashes(vm) >= 3; }, 200ms));
+    resetConnections(vm, [](const Utils::UpstreamId&) { return true; });
+    const std::vector<std::unique_ptr<Edge::Service>>& vms = environment.vms;
+    for (std::size_t wave = 0; wave < 20; ++wave) {
+        for (std::size_t index = 0; index < vmCount; ++index) {
+            for (std::size_t request = 0; index != cutVm && request < 12; ++request)
+                sendHarmless(callers, *vms[index]);
+        }
+        runFor(environment, 100ms);
+    }
+    CHECK(lost == 12);
+    for (const std::unique_ptr<Edge::Service>& each : vms)
+        CHECK(countCrashes(*each) == 0);
+    CHECK(runUntil(environment, [&callers] { return callers.ended == callers.sent; }));
+    CHECK(callers.refused == 0);
+}
--- a/tests/auto/relay/tst_framecodec.cpp
+++ b/tests/auto/relay/tst_framecodec.cpp
@@ -45,7 +45,9 @@
     CrashReportFrame crashes;
     crashes.reports = { { CrashReport::Kind::Crash, 1, UINT64_MAX, 3, std::chrono::milliseconds(40),
                             std::chrono::milliseconds(5) },
-        { CrashReport::Kind::Response, 2, 7, 4, std::chrono::minutes(3), std::chrono::seconds(1) } };
+        { CrashReport::Kind::Response, 2, 7, 4, std::chrono::minutes(3), std::chrono::seconds(1) },
+        { CrashReport::Kind::ConfirmedCrash, 3, 7, 4, std::chrono::seconds(9), std::chrono::seconds(8) },
+        { CrashReport::Kind::Life, 4, 0, 4, std::chrono::hours(2), std::chrono::milliseconds(1) } };
     return { Subscription { { "vm" }, 1, 2, 3, true }, update, LoadFrame { std::string("\0bytes", 6) },
         TerminationFrame { { "i-3" }, 9 }, Update {}, crashes };
 }
