--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -241,6 +241,7 @@
     summary["harmless_by_status"] = byStatus;
     summary["poison_arrivals"] = poisonArrivals;
     summary["harmless_quarantined"] = harmlessQuarantined;
+    summary["unreported_renewals"] = world.unreportedRenewals;
     summary["peak_memory_kb"] = memory;
     summary["partitions"] = summarizePartitions(world);
     summary["max_lag_ms"] = world.maxLag.count();
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -52,6 +52,8 @@
     /// Faults of the soak itself, which make a run invalid.
     std::vector<std::string> soakFaults;
     std::chrono::milliseconds maxLag {};
+    /// Grants that an upstream was given with a token of its former process before its restart was reported.
+    std::size_t unreportedRenewals = 0;
     unsigned configurationVersion = 1;
     bool trafficEnded = false;
 };
