--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <iostream>
+#include <sstream>
 
 namespace Soak {
 
@@ -14,6 +15,8 @@
 
 /// Faults end this long before the traffic does, so that recovery can be seen.
 constexpr std::chrono::milliseconds calmAtEnd = 10s;
+/// Value of the option that names the only faults.
+constexpr const char* noFaults = "none";
 /// How long an upstream that has drained is gone.
 constexpr std::chrono::milliseconds restartDelay = 1500ms;
 
@@ -182,10 +185,24 @@
     startPoison(world, kind, world.requests.size(), std::chrono::milliseconds(drawNumber(world, 600, 1500)));
 }
 
+std::vector<FaultKind> onlyKinds(const std::string& names)
+{
+    std::vector<FaultKind> kinds;
+    std::istringstream stream(names);
+    std::string name;
+    while (std::getline(stream, name, ',')) {
+        if (const std::optional<FaultKind> kind = Utils::enumFromName(faultKindNames, name))
+            kinds.push_back(*kind);
+    }
+    return kinds;
+}
+
 FaultKind drawFault(World& world)
 {
-    if (!world.options.onlyFault.empty())
-        return Utils::enumFromName(faultKindNames, world.options.onlyFault).value_or(FaultKind::Poison);
+    if (!world.options.onlyFaults.empty()) {
+        const std::vector<FaultKind> kinds = onlyKinds(world.options.onlyFaults);
+        return kinds.empty() ? FaultKind::Poison : kinds[drawNumber(world, 0, kinds.size() - 1)];
+    }
     // Partitions last, and only one at a time.
     constexpr std::size_t faultsPerPartition = 6;
     if (drawNumber(world, 1, faultsPerPartition) == 1)
@@ -252,10 +269,16 @@
 
 void startFaults(World& world)
 {
+    constexpr std::array<RequestKind, 2> poisonKinds { RequestKind::SafePoison, RequestKind::Poison };
+    for (std::size_t number = 0; number < world.options.poisonRequests; ++number)
+        startPoison(world, poisonKinds.at(number % poisonKinds.size()), number,
+            std::chrono::milliseconds(world.options.poisonGapMs));
     if (!world.options.cutState.empty()) {
         scheduleOnlyPartition(world);
         return;
     }
+    if (world.options.onlyFaults == noFaults)
+        return;
     const Instant at = std::chrono::steady_clock::now();
     injectNext(world, at + std::chrono::seconds(world.options.seconds) - calmAtEnd);
 }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -7,6 +7,7 @@
 
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
@@ -32,13 +33,29 @@
     TCLAP::ValueArg<std::string> program("", "program", "Path of the daemon", true, "", "path", command);
     TCLAP::ValueArg<std::string> folder(
         "", "folder", "Folder for settings and logs; a temporary one if absent", false, "", "path", command);
-    TCLAP::ValueArg<std::string> fault("", "fault", "The only kind of fault", false, "", "name", command);
+    TCLAP::ValueArg<std::string> faults(
+        "", "fault", "The only kinds of faults, separated by commas, or none", false, "", "names", command);
     TCLAP::ValueArg<std::string> cutState(
         "", "cut", "Injects one partition only: hanging, refusing_new or reset", false, "", "state", command);
     TCLAP::ValueArg<std::string> cutSet("", "cut-set",
         "VMs that --cut cuts: half, all_but_one, all or leader", false, options.cutSet, "set", command);
     TCLAP::ValueArg<unsigned> cutSeconds(
         "", "cut-seconds", "Length of the partition of --cut", false, options.cutSeconds, "seconds", command);
+    TCLAP::ValueArg<std::size_t> poison("", "poison", "Number of requests that crash upstreams at once",
+        false, options.poisonRequests, "number", command);
+    TCLAP::ValueArg<unsigned> poisonGap("", "poison-gap", "Time between attempts of each of --poison", false,
+        options.poisonGapMs, "milliseconds", command);
+    TCLAP::ValueArg<unsigned> minDowntime("", "min-downtime",
+        "Shortest time for which a crashed upstream is gone", false, options.minDowntimeMs, "milliseconds",
+        command);
+    TCLAP::ValueArg<unsigned> maxDowntime("", "max-downtime",
+        "Longest time for which a crashed upstream is gone", false, options.maxDowntimeMs, "milliseconds",
+        command);
+    TCLAP::ValueArg<std::string> returnAs("", "return-as",
+        "How a crashed upstream returns: same_id, other_id or other_service", false, options.returnAs, "kind",
+        command);
+    TCLAP::ValueArg<unsigned> work(
+        "", "work", "Shortest work on a request", false, options.workMs, "milliseconds", command);
     command.parse(argc, argv);
     options.seed = seed.getValue();
     options.vms = vms.getValue();
@@ -47,11 +64,17 @@
     options.requestsPerSecond = rate.getValue();
     options.program = program.getValue();
     options.folder = folder.getValue();
-    options.onlyFault = fault.getValue();
+    options.onlyFaults = faults.getValue();
     options.maxKeyed = maxKeyed.getValue();
     options.cutState = cutState.getValue();
     options.cutSet = cutSet.getValue();
     options.cutSeconds = cutSeconds.getValue();
+    options.poisonRequests = poison.getValue();
+    options.poisonGapMs = poisonGap.getValue();
+    options.minDowntimeMs = minDowntime.getValue();
+    options.maxDowntimeMs = std::max(maxDowntime.getValue(), minDowntime.getValue());
+    options.returnAs = returnAs.getValue();
+    options.workMs = work.getValue();
     return options;
 }
 
--- a/tests/soak/soakoptions.h
+++ b/tests/soak/soakoptions.h
@@ -19,12 +19,23 @@
     std::string program;
     /// Folder for settings and logs.
     std::string folder;
-    /// Only requests that crash upstreams and the faults named here, for experiments; all faults if empty.
-    std::string onlyFault;
+    /// Names of the only kinds of faults, separated by commas, for experiments; all faults if empty.
+    std::string onlyFaults;
     /// Names of a LinkState and a PartitionSet: the only fault is one such partition.
     std::string cutState;
     std::string cutSet = "half";
     unsigned cutSeconds = 12;
+    /// Number of different requests that crash upstreams from the begin of the traffic on.
+    std::size_t poisonRequests = 0;
+    /// Time between two attempts of the caller of such a request.
+    unsigned poisonGapMs = 300;
+    /// How long an upstream that a request has crashed is gone.
+    unsigned minDowntimeMs = 1500;
+    unsigned maxDowntimeMs = 1500;
+    /// Name of a ReturnKind.
+    std::string returnAs = "same_id";
+    /// How long an upstream works on a request beside what differs between upstreams.
+    unsigned workMs = 40;
 };
 
 } // namespace Soak
--- a/tests/soak/upstreamhost.h
+++ b/tests/soak/upstreamhost.h
@@ -30,6 +30,8 @@
     /// Where the upstream itself listens.
     std::string listen;
     std::string service;
+    /// Number of ids that this host has had.
+    unsigned idCount = 1;
     std::uint64_t startTimeMs = 1;
     std::uint64_t sequence = 0;
     bool up = false;
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -1,4 +1,5 @@
 #include <soak/checks.h>
+#include <soak/returnkind.h>
 #include <soak/world.h>
 
 #include <edge/topics.h>
@@ -23,6 +24,7 @@
 
 namespace {
 
+constexpr const char* spareService = "spare";
 constexpr std::uint16_t storePort = 18642;
 constexpr std::uint16_t storeWayPort = 18643;
 constexpr std::uint16_t callersPort = 18641;
@@ -33,8 +35,12 @@
 constexpr std::uint16_t upstreamWayPort = 18701;
 /// The platform's time after a disturbance until its bounds hold again.
 constexpr std::chrono::milliseconds stability = 3s;
-/// How long an upstream that a request has crashed is gone.
-constexpr std::chrono::milliseconds crashDowntime = 1500ms;
+/// How long a request that crashes its upstream runs before.
+constexpr std::chrono::milliseconds crashDelay = 30ms;
+/// An upstream of another service may take an address only this long after its former one has ended.
+constexpr std::chrono::milliseconds addressReuseDelay = 2s;
+/// The entry of an upstream that has ended lapses after three heartbeats.
+constexpr std::chrono::milliseconds entryLifetime = 2610ms;
 
 /// An address of 127.0.0.0/8 that no other run uses at the same time.
 std::string addressOf(unsigned group, std::size_t number)
@@ -140,7 +146,10 @@
     const bool isMeant = expected != request.headers.end() && expected->second == upstream.server.id;
     if (isMeant && request.path.find("/poison/") != std::string::npos) {
         recordArrival(world, upstream, request, true);
-        crashAndRestart(world, upstream, crashDowntime);
+        after(world, crashDelay, [&world, &upstream, start = upstream.startTimeMs] {
+            if (upstream.up && upstream.startTimeMs == start)
+                crashByRequest(world, upstream);
+        });
         return;
     }
     const std::size_t ranBefore = upstream.server.ran.size();
@@ -156,7 +165,9 @@
     upstream.server.id = "i-" + std::to_string(number + 1);
     upstream.server.keyed = number % 3 == 2 && number / 3 < world.options.maxKeyed;
     upstream.service = upstream.server.keyed ? "keyed" : "plain";
-    upstream.server.work = std::chrono::milliseconds(40 + 10 * (number % 7));
+    if (upstream.service == "plain" && number % 2 == 1 && world.options.returnAs == "other_service")
+        upstream.service = spareService;
+    upstream.server.work = std::chrono::milliseconds(world.options.workMs + 10 * (number % 7));
     upstream.publicEndpoint = endpointOf(address, upstreamWayPort);
     upstream.listen = address + ":" + std::to_string(upstreamPort);
     for (std::size_t vm = 0; vm < world.options.vms; ++vm)
@@ -172,6 +183,25 @@
     publishEntry(world, upstream);
 }
 
+/// Gives the host another id for its next start; the entry of the former one lapses.
+void takeNewId(World& world, UpstreamHost& upstream)
+{
+    const std::string former = upstream.server.id;
+    after(world, entryLifetime,
+        [&world, former] { StandInStore::putRecord(world.store, "keyed.servers", former, ""); });
+    upstream.server.id = former.substr(0, former.find('.')) + "." + std::to_string(++upstream.idCount);
+}
+
+/// A running upstream of the service that no route names.
+UpstreamHost* findSpare(World& world)
+{
+    for (const std::unique_ptr<UpstreamHost>& upstream : world.upstreams) {
+        if (upstream->up && upstream->service == spareService)
+            return upstream.get();
+    }
+    return nullptr;
+}
+
 std::string describeRule(const std::string& prefix, const std::string& kind, const std::string& service)
 {
     return R"({"name":"r-)" + prefix + R"(","kind":")" + kind
@@ -226,6 +256,7 @@
             + describeRule("safe", "safe", "plain") + "," + describeRule("unsafe", "unsafe", "plain") + ","
             + describeRule("key", "safe", "keyed")
             + R"(]}],"clusters":[{"name":"plain","health_path":"/health","max_conns":90},)"
+              R"({"name":"spare","health_path":"/health","max_conns":90},)"
               R"({"name":"keyed","health_path":"/health","max_conns":90,"sharded":true,"warm":"2s"}]})");
 }
 
@@ -249,6 +280,25 @@
     });
 }
 
+void crashByRequest(World& world, UpstreamHost& upstream)
+{
+    const ReturnKind kind
+        = Utils::enumFromName(returnKindNames, world.options.returnAs).value_or(ReturnKind::SameId);
+    std::chrono::milliseconds downtime(
+        drawNumber(world, world.options.minDowntimeMs, world.options.maxDowntimeMs));
+    if (kind == ReturnKind::OtherService) {
+        downtime = std::max(downtime, addressReuseDelay);
+        if (UpstreamHost* const spare = findSpare(world)) {
+            std::swap(upstream.service, spare->service);
+            takeNewId(world, *spare);
+            crashAndRestart(world, *spare, downtime);
+        }
+    }
+    if (kind != ReturnKind::SameId)
+        takeNewId(world, upstream);
+    crashAndRestart(world, upstream, downtime);
+}
+
 void runFor(World& world, std::chrono::milliseconds time)
 {
     world.context.restart();
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -67,6 +67,9 @@
 /// Writes the upstream's entry unless its reports do not reach the store.
 void publishEntry(World& world, UpstreamHost& upstream);
 
+/// Crashes \a upstream because of a request, and starts it again as the options say.
+void crashByRequest(World& world, UpstreamHost& upstream);
+
 /// Crashes \a upstream and starts it again after \a downtime.
 void crashAndRestart(World& world, UpstreamHost& upstream, std::chrono::milliseconds downtime);
 
