Judge attempts at a vanished upstream by how they end

What callers saw: harmless requests refused as poison_held for a minute and longer, on all VMs, after upstreams had come back under another id at the same address.

Cause: recordUpstreamVanished() counted every attempt in flight under the upstream's id as a confirmed crash: those that its successor had just refused with 421, was running, or that the upstream itself was running when its entry lapsed. A confirmed crash can't be refuted. An attempt is now counted when it is lost or given up after that, or is still in flight a second later; a response ends the matter. Ruled out: late responses that should have cleared the request (the log has the crash at the same millisecond as its 421).

edge.restartedupstreams failed in its three rows (3 crashes counted) and passes, three times.

--- a/src/libs/edge/crashreporting.h
+++ b/src/libs/edge/crashreporting.h
@@ -27,6 +27,8 @@
     /// Reports that may not have reached the other VMs yet, the oldest first.
     std::deque<QueuedCrashReport> queue;
     std::uint64_t lastReportNumber = 0;
+    /// When an upstream was last found to have terminated without notice.
+    Utils::Instant lastVanishedAt {};
     /// Number of first crashes that may be reported now, as of tokensAt.
     double tokens = 0;
     Utils::Instant tokensAt {};
--- a/src/libs/edge/crashreports.cpp
+++ b/src/libs/edge/crashreports.cpp
@@ -42,6 +42,9 @@
 /// Upstreams that terminate silently are missing in the store a few heartbeats later, or are back by then.
 constexpr Utils::Duration unresolvedRetention = std::chrono::seconds(8);
 constexpr std::size_t maxUnresolvedAttempts = 512;
+/// An attempt that is still in flight this long after its upstream is known to have ended counts as its
+/// crash. The successor would have responded to most requests.
+constexpr Utils::Duration vanishedAttemptGrace = std::chrono::seconds(1);
 /// Number of suspects whose crashes a VM sends when it subscribes or is subscribed to.
 constexpr std::size_t maxSharedSuspects = 512;
 /// Time between the first trials of two VMs after a quarantine; longer than it takes to share a crash.
@@ -152,6 +155,13 @@
     reportCrash(node, attempt);
 }
 
+/// Counts the current attempt of \a exchange, whose upstream is known to have ended, as its crash.
+void recordVanishedAttempt(Node& node, const Exchange& exchange)
+{
+    recordConfirmedCrash(
+        node, observeLastAttempt(node, exchange), exchange.lastUpstream, exchange.callerHeaders.requestId);
+}
+
 /// Whether connections to several upstreams were lost during \a attempt: links may have failed.
 bool isAmongOtherLosses(
     const Node& node, const Utils::UpstreamId& upstream, const AttemptObservation& attempt)
@@ -319,6 +329,10 @@
 
 void recordConnectionLost(Node& node, const Exchange& exchange)
 {
+    if (exchange.upstreamVanishedAt) {
+        Internal::recordVanishedAttempt(node, exchange);
+        return;
+    }
     const Balancing::AttemptObservation attempt = Internal::observeLastAttempt(node, exchange);
     const Utils::UpstreamId& upstream = exchange.lastUpstream;
     Balancing::PoisonRequestTracker& tracker = node.traffic.poisonRequests;
@@ -365,6 +379,10 @@
 
 void recordAbandonedAttempt(Node& node, const Exchange& exchange)
 {
+    if (exchange.upstreamVanishedAt) {
+        Internal::recordVanishedAttempt(node, exchange);
+        return;
+    }
     Internal::keepUnresolved(
         node, { exchange.lastUpstream, exchange.fingerprint, exchange.attemptStartedAt, now() });
 }
@@ -384,14 +402,30 @@
         observation.endedAt = attempt.endedAt;
         Internal::recordConfirmedCrash(node, observation, upstream, {});
     }
+    std::erase_if(
+        attempts, [&upstream](const UnresolvedAttempt& attempt) { return attempt.upstream == upstream; });
+    // An attempt in flight may have reached the successor of the process that ended.
     for (auto it = node.traffic.exchanges.begin(); it != node.traffic.exchanges.end(); ++it) {
-        const Exchange& exchange = *it->second;
+        Exchange& exchange = *it->second;
         if (exchange.connectionId != 0 && exchange.lastUpstream == upstream)
-            Internal::recordConfirmedCrash(node, Internal::observeLastAttempt(node, exchange), upstream,
-                exchange.callerHeaders.requestId);
+            exchange.upstreamVanishedAt = at;
+    }
+    node.crashReporting.lastVanishedAt = at;
+}
+
+void countVanishedAttempts(Node& node)
+{
+    const Utils::Instant at = now();
+    if (at - node.crashReporting.lastVanishedAt > 2 * Internal::vanishedAttemptGrace)
+        return;
+    for (auto it = node.traffic.exchanges.begin(); it != node.traffic.exchanges.end(); ++it) {
+        Exchange& exchange = *it->second;
+        if (exchange.connectionId == 0 || !exchange.upstreamVanishedAt
+            || at - *exchange.upstreamVanishedAt < Internal::vanishedAttemptGrace)
+            continue;
+        Internal::recordVanishedAttempt(node, exchange);
+        exchange.upstreamVanishedAt.reset();
     }
-    std::erase_if(
-        attempts, [&upstream](const UnresolvedAttempt& attempt) { return attempt.upstream == upstream; });
 }
 
 void recordUpstreamResponse(Node& node, const Exchange& exchange)
@@ -426,6 +460,7 @@
 
 void flushCrashReports(Node& node)
 {
+    countVanishedAttempts(node);
     std::deque<QueuedCrashReport>& queue = node.crashReporting.queue;
     if (queue.empty())
         return;
--- a/src/libs/edge/crashreports.h
+++ b/src/libs/edge/crashreports.h
@@ -26,9 +26,12 @@
 void recordAbandonedAttempt(Node& node, const Exchange& exchange);
 
 /// Records that \a upstream has terminated without notice: it may have crashed during attempts that were
-/// given up.
+/// given up. Those in flight are judged by how they end.
 void recordUpstreamVanished(Node& node, const Utils::UpstreamId& upstream);
 
+/// Counts attempts as crashes that are still in flight long after their upstream has terminated.
+void countVanishedAttempts(Node& node);
+
 /// Records that the upstream of the last attempt of \a exchange responded.
 void recordUpstreamResponse(Node& node, const Exchange& exchange);
 
--- a/src/libs/edge/exchange.h
+++ b/src/libs/edge/exchange.h
@@ -48,6 +48,9 @@
     Utils::UpstreamId lastUpstream;
     /// When the last attempt was started.
     Utils::Instant attemptStartedAt {};
+    /// When the store or another upstream showed that the upstream of the current attempt has ended, unless
+    /// the attempt has been counted as its crash.
+    std::optional<Utils::Instant> upstreamVanishedAt;
     /// Whether some upstream may have run the request.
     bool mayHaveRun = false;
     /// The upstream connection of the current attempt; 0 if there is none.
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -208,6 +208,7 @@
     exchange->triedUpstreams.insert(upstream);
     exchange->lastUpstream = upstream;
     exchange->attemptStartedAt = at;
+    exchange->upstreamVanishedAt.reset();
     logRequestSent(node, *exchange, upstream, placement->expectedLatency);
     startAttempt(node, exchange, entry.record,
         attemptTimeoutFor(*exchange, candidates.size(), placement->expectedLatency, timeLeft));
