Measure from the sending of a request whether its upstream lived on

A crash was refuted by a life of the upstream that began up to 300 ms after a VM had noticed the loss. A VM notices late: over a link between regions, when it is slow, or after it was frozen. An upstream that is back under its id 300 ms after the crash then refuted it, here and, by a report, on other VMs. The process can't have ended before the request was sent, so that time counts now, for lives and probes. balancing.poisonmemory gains three rows that failed (crash not counted) and pass; 1,313 assertions of tst_balancing, falsequarantine (63) and restartedupstreams pass. It was found by reading; no run with processes showed it.

--- a/src/libs/balancing/lifespan.cpp
+++ b/src/libs/balancing/lifespan.cpp
@@ -17,9 +17,9 @@
     span.until = std::max(span.until, sentAt);
 }
 
-bool livedThrough(const LifeSpan& span, Utils::Instant lostAt)
+bool livedThrough(const LifeSpan& span, Utils::Instant sentAt, Utils::Instant noticedAt)
 {
-    return span.until > lostAt && span.from <= lostAt + minRestartTime;
+    return span.until > noticedAt && span.from <= sentAt + minRestartTime;
 }
 
 } // namespace Balancing
--- a/src/libs/balancing/lifespan.h
+++ b/src/libs/balancing/lifespan.h
@@ -17,7 +17,8 @@
 /// a request sent at \a sentAt. Begins a new span if the upstream may have restarted in between.
 void extendLife(LifeSpan& span, Utils::Instant connectedAt, Utils::Instant sentAt);
 
-/// Whether the process that lost a connection at \a lostAt lived on.
-bool livedThrough(const LifeSpan& span, Utils::Instant lostAt);
+/// Whether the process that got a request sent at \a sentAt lived on after its connection was lost, which was
+/// noticed at \a noticedAt. It may have ended long before that: the VM may have been frozen.
+bool livedThrough(const LifeSpan& span, Utils::Instant sentAt, Utils::Instant noticedAt);
 
 } // namespace Balancing
--- a/src/libs/balancing/lossevidence.h
+++ b/src/libs/balancing/lossevidence.h
@@ -9,7 +9,7 @@
 
 /// Results of the probes after a connection to an upstream was lost, in the order in which they are made.
 struct LossEvidence {
-    /// Time from the loss to the begin of a probe that the upstream accepted.
+    /// Time from when the lost request was sent to the begin of a probe that the upstream accepted.
     std::optional<Utils::Duration> acceptedAfter;
     /// Whether another upstream accepted a connection after the first probe had failed.
     bool otherAccepted = false;
--- a/src/libs/balancing/poisonrequesttracker.cpp
+++ b/src/libs/balancing/poisonrequesttracker.cpp
@@ -72,7 +72,8 @@
     const std::unordered_map<std::uint64_t, LifeSpan>& lives, const AttemptObservation& attempt)
 {
     const auto found = lives.find(attempt.upstream);
-    if (attempt.isConfirmed || found == lives.end() || !livedThrough(found->second, attempt.endedAt))
+    if (attempt.isConfirmed || found == lives.end()
+        || !livedThrough(found->second, attempt.sentAt, attempt.endedAt))
         return std::nullopt;
     return found->second;
 }
@@ -86,12 +87,13 @@
     // Most responses come from upstreams without a crash.
     if (lastCrash == tracker.refutableCrashes.end())
         return withdrawn;
-    if (life.from > lastCrash->second + minRestartTime || livedThrough(life, lastCrash->second))
+    if (life.from > lastCrash->second + minRestartTime
+        || (life.until > lastCrash->second && life.from <= lastCrash->second + minRestartTime))
         tracker.refutableCrashes.erase(lastCrash);
     for (auto it = tracker.suspects.begin(); it != tracker.suspects.end(); ++it) {
         std::erase_if(it->second.crashes, [&](const AttemptObservation& crash) {
-            const bool isRefuted
-                = crash.upstream == upstream && !crash.isConfirmed && livedThrough(life, crash.endedAt);
+            const bool isRefuted = crash.upstream == upstream && !crash.isConfirmed
+                && livedThrough(life, crash.sentAt, crash.endedAt);
             if (isRefuted)
                 withdrawn.push_back(crash);
             return isRefuted;
--- a/src/libs/edge/losschecks.cpp
+++ b/src/libs/edge/losschecks.cpp
@@ -109,7 +109,7 @@
             refused();
             return;
         }
-        check->evidence.acceptedAfter = check->probedAt - check->attempts.front().endedAt;
+        check->evidence.acceptedAfter = check->probedAt - check->attempts.front().sentAt;
         concludeCheck(node, check);
     });
 }
--- a/tests/auto/balancing/tst_poisonmemory.cpp
+++ b/tests/auto/balancing/tst_poisonmemory.cpp
@@ -200,6 +200,30 @@
     CHECK(recordCrash(other, crash) == false);
 }
 
+TEST_CASE("An upstream that is back before a VM notices the loss does not refute the crash", "[poisonmemory]")
+{
+    // The upstream crashes during the request and is back under its id 300 ms later.
+    struct NoticeRow {
+        const char* name;
+        Utils::Duration noticedAfter;
+    };
+    const NoticeRow row = GENERATE(values<NoticeRow>({
+        { "over a link between regions", 80ms },
+        { "by a slow VM", 400ms },
+        { "by a VM that was frozen", 2000ms },
+    }));
+    INFO(row.name);
+    constexpr std::uint64_t upstream = 4;
+    constexpr Utils::Duration backAfter = 30ms + minRestartTime;
+    const AttemptObservation crash = attemptAt(upstream, start, row.noticedAfter);
+    PoisonRequestTracker tracker;
+    recordLife(tracker, upstream, start + backAfter + 1ms, start + row.noticedAfter + 500ms);
+    CHECK(recordCrash(tracker, crash));
+    LossEvidence evidence;
+    evidence.acceptedAfter = row.noticedAfter + 320ms;
+    CHECK(judgeLoss(evidence) == LossVerdict::Unknown);
+}
+
 TEST_CASE("A request that crashes the process that answered before counts again", "[poisonmemory]")
 {
     PoisonRequestTracker tracker;
