Learn the limits that upstreams name

An upstream in need names in its responses how many requests a second it takes from all VMs together. platform/ decodes the header, or says why it can't be used (not a number, negative, not finite); such a response changes nothing. A signed response without it ends the limit, and so does the end of the upstream's process. VMs tell each other by way of the leader, in new fields of the load report and of the update, which the former build ignores.

--- a/src/libs/edge/clusterviewupdates.cpp
+++ b/src/libs/edge/clusterviewupdates.cpp
@@ -3,6 +3,7 @@
 #include <edge/clock.h>
 #include <edge/exchanges.h>
 #include <edge/leaderelection.h>
+#include <edge/limitkeeping.h>
 #include <edge/relay.h>
 #include <edge/upstreams.h>
 #include <granting/assignmentdelta.h>
@@ -133,6 +134,8 @@
     if (change == Routing::DirectoryChange::Restarted
         || (change == Routing::DirectoryChange::Removed && !wasDraining))
         recordUpstreamVanished(node, id);
+    if (change == Routing::DirectoryChange::Restarted || change == Routing::DirectoryChange::Removed)
+        forgetLimit(node, id);
     if (change == Routing::DirectoryChange::Restarted) {
         closeIdleUpstreamConnections(node, id);
         node.traffic.upstreamStates[id].load = {};
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -1,4 +1,5 @@
 #include <edge/clock.h>
+#include <edge/limitkeeping.h>
 #include <edge/metricspage.h>
 #include <edge/upstreamreach.h>
 #include <metrics/exposition.h>
@@ -39,6 +40,8 @@
         static_cast<double>(node.traffic.poisonRequests.suspects.size()));
     writeSingleSample(text, "crocus_quarantined_requests", "gauge", "Request contents that are rejected",
         static_cast<double>(Balancing::countQuarantined(node.traffic.poisonRequests, now())));
+    writeSingleSample(text, "crocus_limited_upstreams", "gauge",
+        "Upstreams that name a limit of their requests", static_cast<double>(countLimitedUpstreams(node)));
     writeSingleSample(
         text, "crocus_reach_lost", "gauge", "1 while this VM reaches no upstream", isReachLost(node) ? 1 : 0);
     writeSingleSample(
--- a/src/libs/edge/node.h
+++ b/src/libs/edge/node.h
@@ -11,6 +11,7 @@
 #include <edge/quarantinestate.h>
 #include <edge/reachprobing.h>
 #include <edge/relaystate.h>
+#include <edge/requestlimits.h>
 #include <edge/traffic.h>
 #include <routing/vmsettings.h>
 
@@ -63,6 +64,7 @@
     ReachProbing reachProbing;
     PeerForwardingState forwarding;
     QuarantineRecords quarantineRecords;
+    RequestLimits requestLimits;
     /// A stop was requested: connections of callers are closed as their requests finish.
     bool stopping = false;
     /// The load balancer has removed this VM, so new connections are no longer accepted.
--- a/src/libs/edge/relay.cpp
+++ b/src/libs/edge/relay.cpp
@@ -1,6 +1,7 @@
 #include <edge/clock.h>
 #include <edge/crashreports.h>
 #include <edge/leaderelection.h>
+#include <edge/limitkeeping.h>
 #include <edge/relay.h>
 #include <edge/relaysource.h>
 #include <edge/relaysubscriber.h>
@@ -91,13 +92,15 @@
     for (auto it = node.leader.requestCounts.begin(); it != node.leader.requestCounts.end(); ++it)
         report.services.push_back(it->second);
     node.leader.requestCounts.clear();
-    if (report.services.empty())
+    if (report.services.empty() && node.requestLimits.unsentToSource.empty())
         return;
-    if (Granting::holdsLeaderLease(node.leader.leadership, now()))
+    if (Granting::holdsLeaderLease(node.leader.leadership, now())) {
+        node.requestLimits.unsentToSource.clear();
         applyLoadReport(node, report);
-    else if (node.relay.sourceLink && node.relay.isSubscribed)
+    } else if (node.relay.sourceLink && node.relay.isSubscribed)
         Internal::sendFrame(node, node.relay.sourceLink,
-            Relay::encodeFrame(Relay::LoadFrame { Granting::encodeReport(report) }));
+            Relay::encodeFrame(
+                Relay::LoadFrame { Granting::encodeReport(report), takeNoticesForSource(node) }));
 }
 
 } // namespace Edge
--- a/src/libs/edge/relaylinks.cpp
+++ b/src/libs/edge/relaylinks.cpp
@@ -64,7 +64,7 @@
     else if (const Relay::Update* update = std::get_if<Relay::Update>(&frame))
         handleUpdate(node, link, *update);
     else if (const Relay::LoadFrame* loadReport = std::get_if<Relay::LoadFrame>(&frame))
-        handleLoadReport(node, loadReport->report);
+        handleLoadReport(node, *loadReport);
     else if (const Relay::TerminationFrame* termination = std::get_if<Relay::TerminationFrame>(&frame))
         handleTerminationReport(node, termination->upstream, termination->offset);
     else if (const Relay::CrashReportFrame* reports = std::get_if<Relay::CrashReportFrame>(&frame))
--- a/src/libs/edge/relaysource.cpp
+++ b/src/libs/edge/relaysource.cpp
@@ -2,6 +2,7 @@
 #include <edge/crashreports.h>
 #include <edge/members.h>
 #include <edge/leaderelection.h>
+#include <edge/limitkeeping.h>
 #include <edge/relay.h>
 #include <edge/relaysource.h>
 #include <granting/assignmentdelta.h>
@@ -124,6 +125,7 @@
         node.relay.vmCount = static_cast<std::uint32_t>(
             std::max(node.relay.subscribers.size() + 1, node.relay.members.size()));
     Relay::Update update = makeUpdate(node, std::move(records));
+    update.limits = takeNoticesForSubscribers(node);
     if (membersChanged) {
         update.peers = subscriberAddresses(node);
         update.members = std::move(members);
@@ -199,6 +201,7 @@
     link->storeIsLocal = subscription.storeIsLocal;
     link->subscribed = true;
     node.relay.subscribersChanged = true;
+    queueLimitsForSubscribers(node);
     sendKnownCrashes(node, link);
     const bool hasNoRecords
         = subscription.configurations == 0 && subscription.reports == 0 && subscription.assignments == 0;
@@ -207,8 +210,10 @@
                      : Relay::encodeFrame(makeUpdate(node, findMissedRecords(node, subscription))));
 }
 
-void handleLoadReport(Node& node, const std::string& encodedReport)
+void handleLoadReport(Node& node, const Relay::LoadFrame& frame)
 {
+    const std::string& encodedReport = frame.report;
+    recordReportedLimits(node, frame.limits, false);
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(report, Granting::decodeReport({ encodedReport.data(), encodedReport.size() }));
--- a/src/libs/edge/relaysource.h
+++ b/src/libs/edge/relaysource.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <relay/loadframe.h>
 #include <edge/relaylinks.h>
 #include <relay/subscription.h>
 
@@ -21,6 +22,6 @@
 void handleSubscription(Node& node, const LinkPtr& link, const Relay::Subscription& subscription);
 
 /// Applies an encoded Granting::LoadReport.
-void handleLoadReport(Node& node, const std::string& encodedReport);
+void handleLoadReport(Node& node, const Relay::LoadFrame& frame);
 
 } // namespace Edge::Internal
--- a/src/libs/edge/relaysubscriber.cpp
+++ b/src/libs/edge/relaysubscriber.cpp
@@ -1,6 +1,7 @@
 #include <edge/clusterviewupdates.h>
 #include <edge/clock.h>
 #include <edge/crashreports.h>
+#include <edge/limitkeeping.h>
 #include <edge/members.h>
 #include <edge/topicfollowing.h>
 #include <edge/relay.h>
@@ -241,6 +242,7 @@
         node.relay.peers = update.peers;
     if (!update.members.empty())
         recordMembers(node, update.members);
+    recordReportedLimits(node, update.limits, true);
     // The sender may not know yet that the store has returned from an older copy.
     if (Platform::eraOf(update.leaderTopicEnd) >= node.leader.leadership.storeEra)
         Granting::recordLogRead(node.leader.leadership, update.leaderTopicEnd, leader, now());
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -3,6 +3,7 @@
 #include <edge/addressreuse.h>
 #include <edge/crashreports.h>
 #include <edge/exchanges.h>
+#include <edge/limitkeeping.h>
 #include <edge/responsememory.h>
 #include <edge/upstreamreach.h>
 #include <edge/upstreams.h>
@@ -214,8 +215,10 @@
     const AttemptOutcome outcome = isForOtherRequest ? AttemptOutcome::ConnectionLost
                                                      : outcomeForStatus(response.result_int(), serverHeaders);
     recordAttemptOutcome(node, *connection, outcome, serverHeaders);
-    if (!isForOtherRequest && !isFromOtherUpstream(serverHeaders, connection->upstream))
+    if (!isForOtherRequest && !isFromOtherUpstream(serverHeaders, connection->upstream)) {
         recordUpstreamLife(node, connection->upstream, connection->connectedAt, connection->sentAt);
+        recordNamedLimit(node, connection->upstream, serverHeaders);
+    }
     keepOrCloseConnection(
         node, connection, canKeepAlive, serverHeaders.keepAliveTimeout.value_or(defaultKeepAliveTimeout));
     if (outcome == AttemptOutcome::Misdirected && isFromOtherUpstream(serverHeaders, connection->upstream))
--- a/src/libs/platform/headers.cpp
+++ b/src/libs/platform/headers.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <vector>
 
 namespace Platform {
@@ -45,6 +46,20 @@
     return Routing::ReportedLoad { *running, *waiting, *slots };
 }
 
+void parseRequestLimit(const HttpFields& fields, ServerHeaders& serverHeaders)
+{
+    if (fields.find(boost::string_view(requestLimitHeader.data(), requestLimitHeader.size())) == fields.end())
+        return;
+    const std::string_view text = fieldValue(fields, requestLimitHeader);
+    const std::optional<double> limit = parseNumber<double>(text);
+    if (!limit)
+        serverHeaders.requestLimitError = DecodeError::Unreadable;
+    else if (!std::isfinite(*limit) || *limit < 0)
+        serverHeaders.requestLimitError = DecodeError::OutOfRange;
+    else
+        serverHeaders.requestLimit = limit;
+}
+
 std::optional<Utils::Duration> parseKeepAliveTimeout(std::string_view text)
 {
     constexpr std::string_view parameter = "timeout=";
@@ -92,6 +107,7 @@
     serverHeaders.load = Internal::parseLoad(Internal::fieldValue(fields, Internal::loadHeader));
     serverHeaders.keepAliveTimeout
         = Internal::parseKeepAliveTimeout(Internal::fieldValue(fields, Internal::keepAliveHeader));
+    Internal::parseRequestLimit(fields, serverHeaders);
     serverHeaders.handover = std::string(Internal::fieldValue(fields, Internal::handoverHeader));
     serverHeaders.isStamped = !Internal::fieldValue(fields, Internal::stampHeader).empty();
     return serverHeaders;
--- a/src/libs/platform/serverheaders.h
+++ b/src/libs/platform/serverheaders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <platform/decodeerror.h>
 #include <routing/reportedload.h>
 #include <utils/ids.h>
 #include <utils/time.h>
@@ -19,6 +20,11 @@
     /// Request).
     bool notRun = false;
     std::optional<Routing::ReportedLoad> load;
+    /// Requests per second that the server takes from all VMs together; it may be zero. Sent in every
+    /// response for as long as it applies.
+    std::optional<double> requestLimit;
+    /// Why the limit in the response could not be used.
+    std::optional<DecodeError> requestLimitError;
     /// How long the server keeps an idle connection open.
     std::optional<Utils::Duration> keepAliveTimeout;
     /// Proof of the requests executed on released keys, for their next holder.
--- a/src/libs/relay/framecodec.cpp
+++ b/src/libs/relay/framecodec.cpp
@@ -49,6 +49,34 @@
     return packed;
 }
 
+std::uint32_t encodeAge(Utils::Duration age)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(Utils::toMilliseconds(age), 0, UINT32_MAX));
+}
+
+std::vector<flatbuffers::Offset<Generated::Limit>> packLimits(
+    Builder& builder, const std::vector<LimitNotice>& limits)
+{
+    std::vector<flatbuffers::Offset<Generated::Limit>> packed;
+    packed.reserve(limits.size());
+    for (const LimitNotice& limit : limits)
+        packed.push_back(Generated::CreateLimitDirect(
+            builder, limit.upstream.value.c_str(), limit.perSecond, limit.isNamed, encodeAge(limit.age)));
+    return packed;
+}
+
+std::vector<LimitNotice> unpackLimits(
+    const flatbuffers::Vector<flatbuffers::Offset<Generated::Limit>>* packed)
+{
+    std::vector<LimitNotice> limits;
+    if (!packed)
+        return limits;
+    for (const Generated::Limit* limit : *packed)
+        limits.push_back({ { limit->upstream()->str() }, limit->per_second(), limit->named(),
+            std::chrono::milliseconds(limit->age_ms()) });
+    return limits;
+}
+
 flatbuffers::Offset<void> packBody(Builder& builder, const Subscription& subscription)
 {
     return Generated::CreateSubscriptionDirect(builder, subscription.vm.value.c_str(),
@@ -65,14 +93,18 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> peers = packStrings(builder, update.peers);
     const std::vector<flatbuffers::Offset<flatbuffers::String>> members
         = packStrings(builder, update.members);
+    const std::vector<flatbuffers::Offset<Generated::Limit>> limits = packLimits(builder, update.limits);
     return Generated::CreateUpdateDirect(builder, update.leader.c_str(), update.leaderTopicEnd,
-        update.isFresh, update.vmCount, &peers, &records, update.senderIsSource, update.reportsEnd, &members)
+        update.isFresh, update.vmCount, &peers, &records, update.senderIsSource, update.reportsEnd, &members,
+        limits.empty() ? nullptr : &limits)
         .Union();
 }
 
 flatbuffers::Offset<void> packBody(Builder& builder, const LoadFrame& loadReport)
 {
-    return Generated::CreateLoad(builder, packBytes(builder, loadReport.report)).Union();
+    const flatbuffers::Offset<Bytes> report = packBytes(builder, loadReport.report);
+    const std::vector<flatbuffers::Offset<Generated::Limit>> limits = packLimits(builder, loadReport.limits);
+    return Generated::CreateLoad(builder, report, limits.empty() ? 0 : builder.CreateVector(limits)).Union();
 }
 
 flatbuffers::Offset<void> packBody(Builder& builder, const TerminationFrame& termination)
@@ -81,11 +113,6 @@
         .Union();
 }
 
-std::uint32_t encodeAge(Utils::Duration age)
-{
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(Utils::toMilliseconds(age), 0, UINT32_MAX));
-}
-
 flatbuffers::Offset<void> packBody(Builder& builder, const CrashReportFrame& frame)
 {
     std::vector<Generated::CrashReport> reports;
@@ -132,6 +159,7 @@
     }
     update.peers = unpackStrings(packed.peers());
     update.members = unpackStrings(packed.members());
+    update.limits = unpackLimits(packed.limits());
     return update;
 }
 
@@ -186,7 +214,7 @@
     if (const Generated::Update* packed = frame->body_as_Update())
         return unpackUpdate(*packed);
     if (const Generated::Load* packed = frame->body_as_Load())
-        return LoadFrame { unpackBytes(*packed->report()) };
+        return LoadFrame { unpackBytes(*packed->report()), unpackLimits(packed->limits()) };
     if (const Generated::Loss* packed = frame->body_as_Loss())
         return TerminationFrame { { packed->upstream()->str() }, packed->offset() };
     if (const Generated::CrashReports* packed = frame->body_as_CrashReports())
--- a/src/libs/relay/loadframe.h
+++ b/src/libs/relay/loadframe.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <relay/limitnotice.h>
+
 #include <string>
+#include <vector>
 
 namespace Relay {
 
@@ -8,6 +11,8 @@
 struct LoadFrame {
     /// An encoded Granting::LoadReport.
     std::string report;
+    /// Limits that the VM has learned of from upstreams since its last report.
+    std::vector<LimitNotice> limits;
 
     bool operator==(const LoadFrame&) const = default;
 };
--- a/src/libs/relay/update.h
+++ b/src/libs/relay/update.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <relay/limitnotice.h>
 #include <relay/relayrecord.h>
 
 #include <cstdint>
@@ -29,6 +30,8 @@
     std::vector<std::string> peers;
     /// Addresses of all VMs that the leader knows, itself included; empty in most updates.
     std::vector<std::string> members;
+    /// Limits of upstreams that have changed since the last update.
+    std::vector<LimitNotice> limits;
 
     bool operator==(const Update&) const = default;
 };
--- a/tests/auto/platform/tst_headers.cpp
+++ b/tests/auto/platform/tst_headers.cpp
@@ -106,3 +106,35 @@
     setForwardingHeaders(fields, { "i-1" }, -5ms);
     CHECK(fields["X-Deadline-Ms"] == "1");
 }
+
+TEST_CASE("The limit that a server names is read, or why it can't be used", "[headers]")
+{
+    struct LimitRow {
+        const char* text;
+        std::optional<double> limit;
+        std::optional<DecodeError> error;
+    };
+    const LimitRow row = GENERATE(values<LimitRow>({
+        { nullptr, std::nullopt, std::nullopt },
+        { "1.5", 1.5, std::nullopt },
+        { "20", 20.0, std::nullopt },
+        { "0", 0.0, std::nullopt },
+        { "0.05", 0.05, std::nullopt },
+        { "1e9", 1e9, std::nullopt },
+        { "", std::nullopt, DecodeError::Unreadable },
+        { "few", std::nullopt, DecodeError::Unreadable },
+        { "1.5/s", std::nullopt, DecodeError::Unreadable },
+        { "1,5", std::nullopt, DecodeError::Unreadable },
+        { "1e999", std::nullopt, DecodeError::Unreadable },
+        { "-1", std::nullopt, DecodeError::OutOfRange },
+        { "inf", std::nullopt, DecodeError::OutOfRange },
+        { "nan", std::nullopt, DecodeError::OutOfRange },
+    }));
+    INFO((row.text ? row.text : "absent"));
+    HttpFields fields;
+    if (row.text)
+        fields.set("Server-Limit", row.text);
+    const ServerHeaders serverHeaders = parseServerHeaders(200, fields);
+    CHECK(serverHeaders.requestLimit == row.limit);
+    CHECK(serverHeaders.requestLimitError == row.error);
+}
--- a/tests/auto/relay/tst_framecodec.cpp
+++ b/tests/auto/relay/tst_framecodec.cpp
@@ -44,13 +44,16 @@
               { RelayTopic::Configurations, "config", std::string(5000, 'x'), 6 } };
     update.peers = { "10.0.0.1", "10.0.0.2" };
     update.members = { "10.0.0.1", "10.0.0.2", "10.0.0.3" };
+    update.limits = { { { "i-1" }, 1.5, true, std::chrono::milliseconds(70) },
+        { { "i-2" }, 0, false, std::chrono::seconds(2) } };
     CrashReportFrame crashes;
     crashes.reports = { { CrashReport::Kind::Crash, 1, UINT64_MAX, 3, std::chrono::milliseconds(40),
                             std::chrono::milliseconds(5) },
         { CrashReport::Kind::Response, 2, 7, 4, std::chrono::minutes(3), std::chrono::seconds(1) },
         { CrashReport::Kind::ConfirmedCrash, 3, 7, 4, std::chrono::seconds(9), std::chrono::seconds(8) },
         { CrashReport::Kind::Life, 4, 0, 4, std::chrono::hours(2), std::chrono::milliseconds(1) } };
-    return { Subscription { { "vm" }, 1, 2, 3, true }, update, LoadFrame { std::string("\0bytes", 6) },
+    return { Subscription { { "vm" }, 1, 2, 3, true }, update, LoadFrame { std::string("\0bytes", 6), {} },
+        LoadFrame { "report", { { { "i-1" }, 1.5, true, std::chrono::milliseconds(70) } } },
         TerminationFrame { { "i-3" }, 9 }, Update {}, crashes };
 }
 
--- a/tests/standins/platformserver/platformserver.cpp
+++ b/tests/standins/platformserver/platformserver.cpp
@@ -119,6 +119,8 @@
     reply.headers["X-Server-Stamp"] = "stamp-" + server.id;
     reply.headers["X-Server-Load"] = "1,0,2";
     reply.headers["Keep-Alive"] = "timeout=10";
+    if (!server.limit.empty())
+        reply.headers["Server-Limit"] = server.limit;
     reply.body = server.id + " " + request.path;
     if (takeOne(server.faults->fail))
         reply.status = 500;
--- a/tests/standins/platformserver/platformserver.h
+++ b/tests/standins/platformserver/platformserver.h
@@ -34,6 +34,8 @@
     /// Requests that reached it, run or not.
     unsigned arrivals = 0;
     unsigned releases = 0;
+    /// Value of the limit that its responses name; none if empty.
+    std::string limit;
     /// Handovers that came with grants.
     std::vector<std::string> handovers;
 };
