Keep the limit that an upstream names over all VMs

What callers saw: requests failed at upstreams that had asked for fewer. Cause: the limit was not read; and a count on each VM alone would have let twelve VMs send twelve times as many.

Weighed: permits by the leader (an exact account, but a round trip a request, and none without a leader), and handing requests to one VM. Every way to an upstream passes startNextAttempt(), so retries and forwarded requests count. Without a send now, requests go to other upstreams; where the limited one holds the key, the most urgent ones wait if the response still meets its target, and others get 503 limit_reached with the time of the next send.

--- a/src/libs/edge/exchange.h
+++ b/src/libs/edge/exchange.h
@@ -51,6 +51,8 @@
     /// When the store or another upstream showed that the upstream of the current attempt has ended, unless
     /// the attempt has been counted as its crash.
     std::optional<Utils::Instant> upstreamVanishedAt;
+    /// The upstream for which a send within its limit has been reserved; empty if there is none.
+    Utils::UpstreamId reservedUpstream;
     /// Whether some upstream may have run the request.
     bool mayHaveRun = false;
     /// The upstream connection of the current attempt; 0 if there is none.
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -7,6 +7,7 @@
 #include <edge/clock.h>
 #include <edge/crashreports.h>
 #include <edge/forwardingheaders.h>
+#include <edge/limitkeeping.h>
 #include <edge/peerforwarding.h>
 #include <edge/upstreamreach.h>
 #include <edge/exchanges.h>
@@ -16,6 +17,7 @@
 #include <utils/hash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Edge {
 
@@ -172,6 +174,58 @@
     return canTryAnother && timeLeft - timeout >= expected ? timeout : timeLeft;
 }
 
+/// Removes upstreams whose limit leaves this VM no send now. One with the only holder of a key stays, as its
+/// next send may be worth waiting for.
+void removeLimited(
+    Node& node, const Exchange& exchange, std::vector<Balancing::Candidate>& candidates, Utils::Instant at)
+{
+    if (exchange.service->keyed)
+        return;
+    std::erase_if(candidates, [&node, at](const Balancing::Candidate& candidate) {
+        const Balancing::RequestLimit* const limit = findLimit(node, candidate.id);
+        return limit && Balancing::timeToNextSend(*limit, at) != Utils::Duration::zero();
+    });
+}
+
+void rejectLimited(Node& node, const ExchangePtr& exchange,
+    const std::vector<Balancing::Candidate>& candidates, Utils::Instant at)
+{
+    Utils::Duration retryAfter = Utils::Duration::max();
+    for (const Balancing::Candidate& candidate : candidates) {
+        if (const Balancing::RequestLimit* const limit = findLimit(node, candidate.id))
+            retryAfter = std::min(retryAfter, Balancing::retryDelay(*limit, at));
+    }
+    if (exchange->attemptCount == 0)
+        exchange->lastUpstream = candidates.front().id;
+    respondLocally(node, exchange, LocalResponseReason::LimitReached, retryAfter);
+}
+
+/// Longest wait for a send within the limit of an upstream after which the response is still worth it.
+Utils::Duration maxLimitWait(const Exchange& exchange, Utils::Duration expected, Utils::Instant at)
+{
+    const Utils::Duration inTarget = exchange.targetAt - at - expected;
+    return exchange.isCallerRetry ? exchange.deadlineAt - at - expected : inTarget;
+}
+
+/// Reserves a send within the limit of \a upstream. Returns the time until then, or nothing if there is none
+/// in time.
+std::optional<Utils::Duration> reserveLimitedSend(Node& node, Exchange& exchange,
+    const Utils::UpstreamId& upstream, Utils::Duration expected, Utils::Instant at)
+{
+    Balancing::RequestLimit* const limit = findLimit(node, upstream);
+    if (!limit || std::exchange(exchange.reservedUpstream, {}) == upstream)
+        return Utils::Duration::zero();
+    const Utils::Duration maxWait
+        = exchange.service->keyed ? maxLimitWait(exchange, expected, at) : Utils::Duration::zero();
+    const std::optional<Utils::Duration> wait
+        = Balancing::reserveSend(*limit, exchange.route->priority, maxWait, at);
+    if (wait && *wait > Utils::Duration::zero()) {
+        exchange.reservedUpstream = upstream;
+        ++node.requestLimits.delayedSends;
+    }
+    return wait;
+}
+
 void startNextAttempt(Node& node, const ExchangePtr& exchange)
 {
     const Utils::Instant at = now();
@@ -187,7 +241,13 @@
         waitForHolder(node, exchange);
         return;
     }
-    const std::vector<Balancing::Candidate> candidates = findCandidates(node, *exchange, at);
+    const std::vector<Balancing::Candidate> all = findCandidates(node, *exchange, at);
+    std::vector<Balancing::Candidate> candidates = all;
+    removeLimited(node, *exchange, candidates, at);
+    if (candidates.empty() && !all.empty()) {
+        rejectLimited(node, exchange, all, at);
+        return;
+    }
     const std::optional<Balancing::Placement> placement
         = Balancing::chooseUpstream(candidates, makePlacementRequest(node, *exchange), at);
     if (!placement) {
@@ -203,6 +263,19 @@
         }
     }
     const Utils::UpstreamId upstream = candidates[placement->index].id;
+    const std::optional<Utils::Duration> wait
+        = reserveLimitedSend(node, *exchange, upstream, placement->expectedLatency, at);
+    if (!wait) {
+        rejectLimited(node, exchange, { candidates[placement->index] }, at);
+        return;
+    }
+    if (*wait > Utils::Duration::zero()) {
+        startTimer(exchange->holderWaitTimer, *wait, [&node, exchange] {
+            if (isActive(node, *exchange))
+                startNextAttempt(node, exchange);
+        });
+        return;
+    }
     const Routing::DirectoryEntry& entry = node.clusterView.directory.entries.at(upstream);
     ++exchange->attemptCount;
     exchange->triedUpstreams.insert(upstream);
@@ -332,9 +405,15 @@
 /// again by then or have been replaced.
 bool hasRetryTarget(Node& node, const Exchange& exchange, AttemptOutcome outcome)
 {
-    if (exchange.service->keyed)
-        return outcome != AttemptOutcome::Rejected;
-    return !findCandidates(node, exchange, now()).empty();
+    const Utils::Instant at = now();
+    if (exchange.service->keyed) {
+        const Balancing::RequestLimit* const limit = findLimit(node, exchange.lastUpstream);
+        const bool hasSend = !limit || Balancing::timeToNextSend(*limit, at) == Utils::Duration::zero();
+        return outcome != AttemptOutcome::Rejected && hasSend;
+    }
+    std::vector<Balancing::Candidate> candidates = findCandidates(node, exchange, at);
+    removeLimited(node, exchange, candidates, at);
+    return !candidates.empty();
 }
 
 Balancing::AttemptContext makeAttemptContext(Node& node, const Exchange& exchange, AttemptOutcome outcome)
--- a/src/libs/edge/keyplanning.cpp
+++ b/src/libs/edge/keyplanning.cpp
@@ -1,6 +1,7 @@
 #include <edge/assignmentrecords.h>
 #include <edge/keyplanning.h>
 #include <edge/leadershiplog.h>
+#include <edge/limitkeeping.h>
 #include <granting/planplacement.h>
 
 #include <algorithm>
@@ -23,6 +24,11 @@
 /// Lower values are measurement errors.
 constexpr double minServiceTimeSeconds = 0.001;
 
+/// Share of the limit of an upstream for which it gets keys.
+constexpr double usedLimitShare = 0.8;
+/// In requests per second; keeps the share of an upstream that takes no requests above zero.
+constexpr double minLimitedCapacity = 0.1;
+
 std::vector<Granting::PlacementTarget> findPlacementTargets(
     Node& node, const Granting::Granter& granter, Utils::Instant at)
 {
@@ -37,7 +43,10 @@
             continue;
         const double seconds = std::chrono::duration<double>(stats.serviceTime).count()
             * node.traffic.upstreamStates[it->first].load.slowdownFactor;
-        targets.push_back({ it->first, entry.record.slots / std::max(seconds, minServiceTimeSeconds) });
+        double capacity = entry.record.slots / std::max(seconds, minServiceTimeSeconds);
+        if (const Balancing::RequestLimit* const limit = findLimit(node, it->first))
+            capacity = std::min(capacity, std::max(limit->perSecond * usedLimitShare, minLimitedCapacity));
+        targets.push_back({ it->first, capacity });
     }
     std::sort(targets.begin(), targets.end(),
         [](const Granting::PlacementTarget& one, const Granting::PlacementTarget& other) {
--- a/src/libs/edge/localresponsereason.h
+++ b/src/libs/edge/localresponsereason.h
@@ -24,6 +24,8 @@
     KeyWithoutHolder,
     /// Admission control: the response is not expected in time.
     Overload,
+    /// All upstreams for the request name a limit, and it is used up.
+    LimitReached,
     /// Upstreams rejected the request, and no time, retry budget or other upstream is left for a retry.
     RejectedByUpstreams,
     /// An attempt failed after the request was sent, and the request must not or cannot be retried.
@@ -34,7 +36,7 @@
     PoisonQuarantined,
 };
 
-inline constexpr std::array<Utils::EnumName<LocalResponseReason>, 14> localResponseReasonNames { {
+inline constexpr std::array<Utils::EnumName<LocalResponseReason>, 15> localResponseReasonNames { {
     { LocalResponseReason::NoConfiguration, "no_configuration" },
     { LocalResponseReason::NoRoute, "no_route" },
     { LocalResponseReason::BadRequest, "bad_request" },
@@ -45,6 +47,7 @@
     { LocalResponseReason::Unreachable, "upstreams_unreachable" },
     { LocalResponseReason::KeyWithoutHolder, "key_without_holder" },
     { LocalResponseReason::Overload, "overload" },
+    { LocalResponseReason::LimitReached, "limit_reached" },
     { LocalResponseReason::RejectedByUpstreams, "upstreams_refused" },
     { LocalResponseReason::UpstreamFailed, "upstream_failed" },
     { LocalResponseReason::DeadlineExceeded, "time_up" },
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -77,6 +77,9 @@
     Internal::writeSingleSample(text, "crocus_topic_restarts_total", "counter",
         "Topics that were read anew as their positions were lost",
         static_cast<double>(counters.topicRestarts));
+    Internal::writeSingleSample(text, "crocus_limit_delays_total", "counter",
+        "Requests that waited for a send within the limit of an upstream",
+        static_cast<double>(node.requestLimits.delayedSends));
     Internal::writeSingleSample(text, "crocus_reach_losses_total", "counter",
         "Times that this VM reached no upstream any more", static_cast<double>(node.reachProbing.losses));
     Internal::writeGauges(text, node);
