Let upstreams of the fault soak name limits

Counted are the requests of VMs that passed on a response that names the limit half a second before, as the platform's rule says.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,4 +1,5 @@
 #include <soak/callers.h>
+#include <soak/limits.h>
 #include <soak/partitions.h>
 
 #include <csignal>
@@ -40,6 +41,8 @@
     record.outcome = response.outcome;
     record.status = response.status;
     record.responseBody = response.body;
+    if (response.fields.count("Server-Limit") > 0)
+        recordToldVm(world, response.body.substr(0, response.body.find(' ')), *world.vms[record.vm]);
     record.stamped = response.fields.count("X-Server-Stamp") > 0;
 }
 
--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -1,4 +1,5 @@
 #include <soak/checks.h>
+#include <soak/limits.h>
 #include <soak/partitionchecks.h>
 
 #include <boost/json.hpp>
@@ -213,6 +214,7 @@
     checkPoison(world);
     checkQuarantine(world);
     checkRetryBudget(world);
+    checkLimits(world);
     checkPartitions(world);
     if (!world.requests.empty())
         checkRecovery(world);
@@ -241,6 +243,7 @@
     summary["harmless_by_status"] = byStatus;
     summary["poison_arrivals"] = poisonArrivals;
     summary["harmless_quarantined"] = harmlessQuarantined;
+    summary["limits"] = world.limitPeriods.size();
     summary["unreported_renewals"] = world.unreportedRenewals;
     summary["peak_memory_kb"] = memory;
     summary["partitions"] = summarizePartitions(world);
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -1,5 +1,6 @@
 #include <soak/callers.h>
 #include <soak/faults.h>
+#include <soak/limits.h>
 #include <soak/partitions.h>
 
 #include <algorithm>
@@ -277,6 +278,8 @@
         scheduleOnlyPartition(world);
         return;
     }
+    if (world.options.namesLimits)
+        startLimits(world);
     if (world.options.onlyFaults == noFaults)
         return;
     const Instant at = std::chrono::steady_clock::now();
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -56,6 +56,7 @@
         command);
     TCLAP::ValueArg<unsigned> work(
         "", "work", "Shortest work on a request", false, options.workMs, "milliseconds", command);
+    TCLAP::SwitchArg noLimits("", "no-limits", "Upstreams name no limits", command);
     command.parse(argc, argv);
     options.seed = seed.getValue();
     options.vms = vms.getValue();
@@ -75,6 +76,7 @@
     options.maxDowntimeMs = std::max(maxDowntime.getValue(), minDowntime.getValue());
     options.returnAs = returnAs.getValue();
     options.workMs = work.getValue();
+    options.namesLimits = !noLimits.getValue();
     return options;
 }
 
--- a/tests/soak/soakoptions.h
+++ b/tests/soak/soakoptions.h
@@ -21,6 +21,8 @@
     std::string folder;
     /// Names of the only kinds of faults, separated by commas, for experiments; all faults if empty.
     std::string onlyFaults;
+    /// Whether upstreams name limits.
+    bool namesLimits = true;
     /// Names of a LinkState and a PartitionSet: the only fault is one such partition.
     std::string cutState;
     std::string cutSet = "half";
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -1,4 +1,5 @@
 #include <soak/checks.h>
+#include <soak/limits.h>
 #include <soak/returnkind.h>
 #include <soak/world.h>
 
@@ -128,7 +129,10 @@
         violate(world, "request changed on its way: " + record.id);
     const Instant at = std::chrono::steady_clock::now();
     const VmProcess& vm = *world.vms[record.vm];
-    record.arrivals.push_back({ upstream.server.id, at, ran, !vm.paused && at - vm.disturbedAt > stability });
+    const bool vmInTouch = !vm.paused && at - vm.disturbedAt > stability;
+    record.arrivals.push_back({ upstream.server.id, at, ran, vmInTouch });
+    if (vmInTouch)
+        recordLimitedArrival(world, upstream, vm, at);
 }
 
 void handleRequest(World& world, UpstreamHost& upstream, const StandInSupport::HttpHandler& regular,
@@ -225,6 +229,7 @@
 World::World(SoakOptions options)
     : options(std::move(options))
     , random(this->options.seed)
+    , limitRandom(this->options.seed)
     , store(this->context)
     , storeServer(this->context)
     , calls(this->context)
@@ -268,6 +273,7 @@
 
 void crashAndRestart(World& world, UpstreamHost& upstream, std::chrono::milliseconds downtime)
 {
+    endLimit(world, upstream);
     crashUpstream(upstream);
     upstream.timer.expires_after(downtime);
     upstream.timer.async_wait([&world, &upstream](const boost::system::error_code& error) {
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -2,6 +2,7 @@
 
 #include <edge/callpool.h>
 #include <soak/grantrecords.h>
+#include <soak/limitperiod.h>
 #include <soak/partition.h>
 #include <soak/requestrecord.h>
 #include <soak/soakoptions.h>
@@ -28,6 +29,8 @@
     SoakOptions options;
     boost::asio::io_context context;
     std::mt19937_64 random;
+    /// For the limits that upstreams name.
+    std::mt19937_64 limitRandom;
     StandInStore::StoreService store;
     StandInSupport::HttpServer storeServer;
     std::vector<std::unique_ptr<VmProcess>> vms;
@@ -47,6 +50,7 @@
     Instant leaderDisturbedAt {};
     /// Until when faults other than partitions may be in effect.
     Instant otherFaultUntil {};
+    std::vector<LimitPeriod> limitPeriods;
     /// One after the other; only the last may not be healed yet.
     std::vector<Partition> partitions;
     /// Faults of the soak itself, which make a run invalid.
