Run two builds of the daemon in the fault soak, and crash more upstreams than are checked at once

edge.poisonrequests gains 80 requests that crash 80 upstreams at once, where a VM checks 64 lost connections at a time: all crashes are counted within 3 s, and harmless requests are served.

--- a/tests/auto/edge/tst_poisonrequests.cpp
+++ b/tests/auto/edge/tst_poisonrequests.cpp
@@ -145,3 +145,32 @@
     CHECK(crashing.crashTimes.size() == 3);
     CHECK(sendRequest(environment, vm, {}).status == 200);
 }
+
+TEST_CASE("Crashes at more upstreams than are checked at once are all counted", "[poisonrequests]")
+{
+    // More than the checks of lost connections that a VM makes at the same time.
+    constexpr unsigned upstreamCount = 80;
+    TestEnvironment environment;
+    CrashingUpstreams crashing(environment);
+    addCrashingUpstreams(crashing, upstreamCount);
+    Edge::Service& vm = startReadyVm(environment);
+    std::size_t ended = 0;
+    for (unsigned number = 0; number < upstreamCount; ++number) {
+        Platform::HttpRequest request(http::verb::post, "/unsafe/" + std::to_string(number) + "/poison", 11);
+        request.set(http::field::host, "a.example");
+        request.set("X-Request-Id", "p" + std::to_string(number));
+        request.set("X-Deadline-Ms", "1500");
+        request.prepare_payload();
+        Edge::startCall(environment.callPool, vm.node.settings.callerEndpoint, std::move(request), 3s,
+            [&ended](const Edge::CallResponse&) { ++ended; });
+    }
+    REQUIRE(runUntil(environment, [&ended] { return ended == upstreamCount; }));
+    runFor(environment, 3000ms);
+    std::size_t counted = 0;
+    for (const auto& [fingerprint, suspect] : vm.node.traffic.poisonRequests.suspects)
+        counted += suspect.crashes.empty() ? 0 : 1;
+    CHECK(counted == crashing.crashTimes.size());
+    CHECK(crashing.crashTimes.size() > 64);
+    for (unsigned number = 0; number < upstreamCount; ++number)
+        CHECK(sendRequest(environment, vm, {}).status == 200);
+}
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -132,7 +132,7 @@
     if (!wasKilled && !hasStopped)
         violate(world, vm.name + " ended by itself, status " + std::to_string(status));
     after(world, restartDelay, [&world, &vm] {
-        if (!startProcess(vm, world.options.program))
+        if (!startProcess(vm))
             violate(world, "the daemon does not start");
     });
 }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -31,6 +31,8 @@
     TCLAP::ValueArg<unsigned> seconds("", "seconds", "Length of the traffic", false, 24, "seconds", command);
     TCLAP::ValueArg<unsigned> rate("", "rate", "Requests a second", false, 60, "number", command);
     TCLAP::ValueArg<std::string> program("", "program", "Path of the daemon", true, "", "path", command);
+    TCLAP::ValueArg<std::string> otherProgram("", "other-program",
+        "Path of another build of the daemon, which every second VM runs", false, "", "path", command);
     TCLAP::ValueArg<std::string> folder(
         "", "folder", "Folder for settings and logs; a temporary one if absent", false, "", "path", command);
     TCLAP::ValueArg<std::string> faults(
@@ -64,6 +66,7 @@
     options.seconds = seconds.getValue();
     options.requestsPerSecond = rate.getValue();
     options.program = program.getValue();
+    options.otherProgram = otherProgram.getValue();
     options.folder = folder.getValue();
     options.onlyFaults = faults.getValue();
     options.maxKeyed = maxKeyed.getValue();
--- a/tests/soak/soakoptions.h
+++ b/tests/soak/soakoptions.h
@@ -17,6 +17,8 @@
     unsigned requestsPerSecond = 60;
     /// Path of the daemon.
     std::string program;
+    /// Path of another build of the daemon, which every second VM runs; none if empty.
+    std::string otherProgram;
     /// Folder for settings and logs.
     std::string folder;
     /// Names of the only kinds of faults, separated by commas, for experiments; all faults if empty.
--- a/tests/soak/vmprocess.cpp
+++ b/tests/soak/vmprocess.cpp
@@ -10,7 +10,7 @@
 
 namespace Soak {
 
-bool startProcess(VmProcess& vm, const std::string& program)
+bool startProcess(VmProcess& vm)
 {
     constexpr mode_t logMode = 0644;
     posix_spawn_file_actions_t actions;
@@ -19,7 +19,7 @@
         &actions, STDOUT_FILENO, vm.logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, logMode);
     // Otherwise the daemon keeps sockets of the stand-ins open after they have closed them.
     ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-    std::string executable = program;
+    std::string executable = vm.program;
     std::string option = "--settings";
     std::string settings = vm.settingsPath;
     std::string offsetOption = "--upstream-port-offset";
@@ -27,7 +27,7 @@
     char* arguments[]
         = { executable.data(), option.data(), settings.data(), offsetOption.data(), offset.data(), nullptr };
     char* environment[] = { nullptr };
-    const int error = ::posix_spawn(&vm.pid, program.c_str(), &actions, nullptr, arguments, environment);
+    const int error = ::posix_spawn(&vm.pid, vm.program.c_str(), &actions, nullptr, arguments, environment);
     ::posix_spawn_file_actions_destroy(&actions);
     vm.paused = false;
     vm.stopRequested = false;
--- a/tests/soak/vmprocess.h
+++ b/tests/soak/vmprocess.h
@@ -18,6 +18,8 @@
     std::string address;
     std::string settingsPath;
     std::string logPath;
+    /// Path of the daemon that it runs.
+    std::string program;
     /// This VM's way to the store.
     std::unique_ptr<TcpProxy> storeWay;
     /// Added to the ports of upstreams; each VM has its own.
@@ -32,8 +34,8 @@
     unsigned missedChecks = 0;
 };
 
-/// Starts the daemon \a program. Returns false if that fails.
-bool startProcess(VmProcess& vm, const std::string& program);
+/// Starts the VM's daemon. Returns false if that fails.
+bool startProcess(VmProcess& vm);
 
 void signalProcess(VmProcess& vm, int signal);
 
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -86,7 +86,9 @@
     vm.storeWay = std::make_unique<TcpProxy>(
         world.context, endpointOf(vm.address, storeWayPort), endpointOf(addressOf(0, 0), storePort));
     startProxy(*vm.storeWay);
-    if (!startProcess(vm, world.options.program))
+    const bool runsOther = number % 2 == 1 && !world.options.otherProgram.empty();
+    vm.program = runsOther ? world.options.otherProgram : world.options.program;
+    if (!startProcess(vm))
         violate(world, "the daemon does not start");
 }
 
