Connect to an upstream before taking a free leader lease

Cause: a cut VM without recent requests had not noticed and took the lease that the cut leader had given up. A VM that has connected to no upstream within a second now probes one first; it looks each 100 ms meanwhile. Where nothing is cut this is one connection at a change of leader, on a VM without traffic.

edge.unreachingleader, new case: failed (the cut VM leads), passes (it doesn't, and leads within a second of healing).

--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -169,11 +169,14 @@
     const bool mayAcquire = leadership.term
         || (!node.stopping && !isReachLost(node) && node.clusterView.routeTable
             && node.clusterView.directoryLoaded);
-    if (mayAcquire && Granting::isAppendDue(leadership, leaseAcquisitionJitter(node), at))
+    const bool isDue = mayAcquire && Granting::isAppendDue(leadership, leaseAcquisitionJitter(node), at);
+    // A VM without recent requests may be cut off from the upstreams without having noticed.
+    const bool isWaiting = isDue && !leadership.term && !confirmReach(node);
+    if (isDue && !isWaiting)
         appendLeaseRecord(node);
     if (Granting::holdsLeaderLease(leadership, at))
         runLeaderTasks(node, at);
-    node.leader.timer.expires_after(leadership.term ? leaderTickInterval : standbyTickInterval);
+    node.leader.timer.expires_after(leadership.term || isWaiting ? leaderTickInterval : standbyTickInterval);
     node.leader.timer.async_wait([&node](const ErrorCode& error) {
         if (!error)
             tick(node);
--- a/src/libs/edge/upstreamreach.cpp
+++ b/src/libs/edge/upstreamreach.cpp
@@ -15,6 +15,8 @@
 
 /// Interval at which it is checked whether probes are due.
 constexpr Utils::Duration probeCheckInterval = std::chrono::milliseconds(100);
+/// A connection that is older does not show that this VM still reaches upstreams.
+constexpr Utils::Duration maxConnectionAge = std::chrono::seconds(1);
 
 void logReachLost(const Node& node)
 {
@@ -138,6 +140,21 @@
 
 bool isReachLost(const Node& node) { return node.reachProbing.reach.state == Internal::ReachState::Lost; }
 
+bool confirmReach(Node& node)
+{
+    ReachProbing& probing = node.reachProbing;
+    if (now() - probing.reach.connectedAt <= Internal::maxConnectionAge)
+        return true;
+    const std::vector<const Routing::DirectoryEntry*> targets = Internal::probeTargets(node);
+    if (targets.empty())
+        return true;
+    if (probing.probes.empty()) {
+        const Routing::DirectoryEntry& target = *targets[probing.nextTarget++ % targets.size()];
+        Internal::startProbe(node, target.record.id, target.record.endpoint);
+    }
+    return false;
+}
+
 Routing::Endpoint upstreamEndpoint(const Node& node, const Routing::Endpoint& endpoint)
 {
     return { endpoint.address, static_cast<std::uint16_t>(endpoint.port + node.settings.upstreamPortOffset) };
--- a/src/libs/edge/upstreamreach.h
+++ b/src/libs/edge/upstreamreach.h
@@ -15,6 +15,9 @@
 /// Whether this VM is certain that it reaches no upstream.
 bool isReachLost(const Node& node);
 
+/// Whether this VM has lately connected to an upstream, or knows of none. If not, begins to find out.
+bool confirmReach(Node& node);
+
 /// Where this VM connects to for an upstream that listens on \a endpoint.
 Routing::Endpoint upstreamEndpoint(const Node& node, const Routing::Endpoint& endpoint);
 
--- a/tests/auto/edge/tst_unreachingleader.cpp
+++ b/tests/auto/edge/tst_unreachingleader.cpp
@@ -110,3 +110,24 @@
     CHECK(runUntil(
         environment, [&vm] { return isLeading(vm); }, 2000ms));
 }
+
+TEST_CASE("A VM that is cut off and has not noticed takes no free lease", "[unreachingleader]")
+{
+    // Without requests, no link of the VM fails that could tell it.
+    TestEnvironment environment;
+    for (const char* id : { "i-1", "i-2", "i-3" })
+        addUpstream(environment, id, "plain");
+    addUpstream(environment, "k-1", "keyed", true);
+    Edge::Service& first = startReadyVm(environment);
+    REQUIRE(runUntil(environment, [&] { return holdAnyKeys(environment); }));
+    Edge::Service& second = startVm(environment);
+    REQUIRE(runUntil(environment, [&] { return second.node.relay.isSubscribed; }));
+    REQUIRE(isLeading(first));
+    second.node.settings.upstreamPortOffset = unusedPortOffset;
+    killVm(environment, 0);
+    CHECK_FALSE(runUntil(
+        environment, [&second] { return isLeading(second); }, 6000ms));
+    second.node.settings.upstreamPortOffset = 0;
+    CHECK(runUntil(
+        environment, [&second] { return isLeading(second); }, 1000ms));
+}
