--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -7,7 +7,7 @@
 #include <edge/clock.h>
 #include <edge/crashreports.h>
 #include <edge/forwardingheaders.h>
-#include <edge/limitkeeping.h>
+#include <edge/limitedsends.h>
 #include <edge/peerforwarding.h>
 #include <edge/upstreamreach.h>
 #include <edge/exchanges.h>
@@ -174,58 +174,6 @@
     return canTryAnother && timeLeft - timeout >= expected ? timeout : timeLeft;
 }
 
-/// Removes upstreams whose limit leaves this VM no send now. One with the only holder of a key stays, as its
-/// next send may be worth waiting for.
-void removeLimited(
-    Node& node, const Exchange& exchange, std::vector<Balancing::Candidate>& candidates, Utils::Instant at)
-{
-    if (exchange.service->keyed)
-        return;
-    std::erase_if(candidates, [&node, at](const Balancing::Candidate& candidate) {
-        const Balancing::RequestLimit* const limit = findLimit(node, candidate.id);
-        return limit && Balancing::timeToNextSend(*limit, at) != Utils::Duration::zero();
-    });
-}
-
-void rejectLimited(Node& node, const ExchangePtr& exchange,
-    const std::vector<Balancing::Candidate>& candidates, Utils::Instant at)
-{
-    Utils::Duration retryAfter = Utils::Duration::max();
-    for (const Balancing::Candidate& candidate : candidates) {
-        if (const Balancing::RequestLimit* const limit = findLimit(node, candidate.id))
-            retryAfter = std::min(retryAfter, Balancing::retryDelay(*limit, at));
-    }
-    if (exchange->attemptCount == 0)
-        exchange->lastUpstream = candidates.front().id;
-    respondLocally(node, exchange, LocalResponseReason::LimitReached, retryAfter);
-}
-
-/// Longest wait for a send within the limit of an upstream after which the response is still worth it.
-Utils::Duration maxLimitWait(const Exchange& exchange, Utils::Duration expected, Utils::Instant at)
-{
-    const Utils::Duration inTarget = exchange.targetAt - at - expected;
-    return exchange.isCallerRetry ? exchange.deadlineAt - at - expected : inTarget;
-}
-
-/// Reserves a send within the limit of \a upstream. Returns the time until then, or nothing if there is none
-/// in time.
-std::optional<Utils::Duration> reserveLimitedSend(Node& node, Exchange& exchange,
-    const Utils::UpstreamId& upstream, Utils::Duration expected, Utils::Instant at)
-{
-    Balancing::RequestLimit* const limit = findLimit(node, upstream);
-    if (!limit || std::exchange(exchange.reservedUpstream, {}) == upstream)
-        return Utils::Duration::zero();
-    const Utils::Duration maxWait
-        = exchange.service->keyed ? maxLimitWait(exchange, expected, at) : Utils::Duration::zero();
-    const std::optional<Utils::Duration> wait
-        = Balancing::reserveSend(*limit, exchange.route->priority, maxWait, at);
-    if (wait && *wait > Utils::Duration::zero()) {
-        exchange.reservedUpstream = upstream;
-        ++node.requestLimits.delayedSends;
-    }
-    return wait;
-}
-
 void startNextAttempt(Node& node, const ExchangePtr& exchange)
 {
     const Utils::Instant at = now();
@@ -241,11 +189,10 @@
         waitForHolder(node, exchange);
         return;
     }
-    const std::vector<Balancing::Candidate> all = findCandidates(node, *exchange, at);
-    std::vector<Balancing::Candidate> candidates = all;
-    removeLimited(node, *exchange, candidates, at);
-    if (candidates.empty() && !all.empty()) {
-        rejectLimited(node, exchange, all, at);
+    std::vector<Balancing::Candidate> candidates = findCandidates(node, *exchange, at);
+    const std::optional<Utils::Duration> limitDelay = removeLimited(node, *exchange, candidates, at);
+    if (candidates.empty() && limitDelay) {
+        respondLocally(node, exchange, LocalResponseReason::LimitReached, *limitDelay);
         return;
     }
     const std::optional<Balancing::Placement> placement
@@ -266,7 +213,9 @@
     const std::optional<Utils::Duration> wait
         = reserveLimitedSend(node, *exchange, upstream, placement->expectedLatency, at);
     if (!wait) {
-        rejectLimited(node, exchange, { candidates[placement->index] }, at);
+        exchange->lastUpstream = upstream;
+        respondLocally(
+            node, exchange, LocalResponseReason::LimitReached, limitRetryDelay(node, upstream, at));
         return;
     }
     if (*wait > Utils::Duration::zero()) {
@@ -407,9 +356,7 @@
 {
     const Utils::Instant at = now();
     if (exchange.service->keyed) {
-        const Balancing::RequestLimit* const limit = findLimit(node, exchange.lastUpstream);
-        const bool hasSend = !limit || Balancing::timeToNextSend(*limit, at) == Utils::Duration::zero();
-        return outcome != AttemptOutcome::Rejected && hasSend;
+        return outcome != AttemptOutcome::Rejected && hasSendNow(node, exchange.lastUpstream, at);
     }
     std::vector<Balancing::Candidate> candidates = findCandidates(node, exchange, at);
     removeLimited(node, exchange, candidates, at);
