--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -292,8 +292,11 @@
 {
     const ReturnKind kind
         = Utils::enumFromName(returnKindNames, world.options.returnAs).value_or(ReturnKind::SameId);
-    std::chrono::milliseconds downtime(
-        drawNumber(world, world.options.minDowntimeMs, world.options.maxDowntimeMs));
+    // Drawn only where there is a choice, so that the other faults of a seed stay.
+    const bool isFixed = world.options.minDowntimeMs == world.options.maxDowntimeMs;
+    std::chrono::milliseconds downtime(isFixed
+            ? world.options.minDowntimeMs
+            : drawNumber(world, world.options.minDowntimeMs, world.options.maxDowntimeMs));
     if (kind == ReturnKind::OtherService) {
         downtime = std::max(downtime, addressReuseDelay);
         if (UpstreamHost* const spare = findSpare(world)) {
