Run requests that callers send ahead side by side, and lose none at a planned stop

Cause: a connection had one request at a time, so n requests ahead took the sum of their times; the watch for a caller's end stopped at the first bytes that arrived, so a caller that had sent a second request was never noticed to leave; a planned stop closed connections with unread or just read requests and the accept queue, and ended requests at the end of the grace period without an answer.

Now each request ahead is read, admitted and run when it arrives (16 per connection, the rest stays in the socket), responses are written in order. Requests that may run only once run alone on their connection, as RFC 9112 9.3.2 has it for methods that are not safe. Only a response behind which nothing was read closes the connection. A closed sending side is told from a caller that has left by interim responses, which fail for the latter. Requests that arrive during a stop must be done before the process ends.

Also: a second copy of a rejection is not taken for the answer to the next attempt of the same request on the connection; a response that names no request on a connection where the upstream names them, and a success without signature, are not delivered; 408, 429 and 503 of an upstream that has run an unsafe request are not passed on.

--- a/src/libs/edge/callerconnection.h
+++ b/src/libs/edge/callerconnection.h
@@ -1,42 +1,55 @@
 #pragma once
 
+#include <edge/callerreadstate.h>
+#include <edge/callerrequest.h>
 #include <edge/guardedtimer.h>
-#include <edge/localresponse.h>
 #include <edge/sockets.h>
-#include <utils/time.h>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 
 namespace Edge {
 
-/// An open connection from a caller.
+/// An open connection from a caller. Requests that the caller sends ahead run side by side; their responses
+/// are written in the order of the requests.
 struct CallerConnection {
     CallerConnection(std::uint64_t id, Tcp::socket socket)
         : id(id)
-        , timer(socket.get_executor())
+        , readTimer(socket.get_executor())
+        , writeTimer(socket.get_executor())
+        , probeTimer(socket.get_executor())
         , socket(std::move(socket))
     {
     }
 
     std::uint64_t id;
-    GuardedTimer timer;
+    GuardedTimer readTimer;
+    GuardedTimer writeTimer;
+    GuardedTimer probeTimer;
     Tcp::socket socket;
     boost::beast::flat_buffer buffer;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser;
-    /// The response that is being written.
-    std::optional<HttpResponse> response;
-    /// Memory of the body of that response.
-    std::size_t responseBytes = 0;
-    /// The exchange of the request in flight; 0 if there is none.
-    std::uint64_t exchangeId = 0;
-    /// Whether a request header has been read and its body has not been read completely.
-    bool isReadingBody = false;
-    bool keepAlive = true;
+    CallerReadState readState = CallerReadState::Paused;
+    /// Whether a read is in progress, which may go on after no more requests are taken.
+    bool isReadPending = false;
+    /// Whether the caller sends the body being read only after an interim response.
+    bool awaitsContinue = false;
+    /// Requests without a completely written response, in the order of their arrival.
+    std::deque<CallerRequest> requests;
+    bool isWriting = false;
+    /// Whether a wait for the caller's end of the connection is pending.
+    bool isWatching = false;
+    /// The caller has closed its sending side, and perhaps both.
+    bool hasCallerClosed = false;
+    /// The last response has been written; what still arrives is discarded.
+    bool isLingering = false;
+    /// Whether the read in progress was cancelled to close the connection if nothing has arrived.
+    bool isClosingIfIdle = false;
     /// Another VM that forwards requests.
     bool isPeer = false;
 };
--- a/src/libs/edge/callers.cpp
+++ b/src/libs/edge/callers.cpp
@@ -1,9 +1,10 @@
+#include <edge/callerclosure.h>
+#include <edge/callerresponses.h>
 #include <edge/callers.h>
 #include <edge/clock.h>
 #include <edge/exchanges.h>
 
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include <utility>
 
@@ -20,24 +21,14 @@
 constexpr Utils::Duration idleTimeoutMargin = std::chrono::seconds(1);
 /// Timeout for reading a request body; the platform's configuration sets none.
 constexpr Utils::Duration bodyReadTimeout = std::chrono::seconds(10);
-/// Timeout for writing a response to a caller.
-constexpr Utils::Duration responseWriteTimeout = std::chrono::seconds(20);
-
 /// Headers that another VM adds to a request that it forwards.
 constexpr std::uint32_t maxForwardingHeaderBytes = 1024;
-
-bool isOpen(const Node& node, const CallerConnection& caller)
-{
-    return node.traffic.callerConnections.contains(caller.id);
-}
-
-void closeCaller(Node& node, CallerConnection& caller)
-{
-    ErrorCode ignored;
-    cancelTimer(caller.timer);
-    caller.socket.close(ignored);
-    node.traffic.callerConnections.erase(caller.id);
-}
+/// Requests of one connection that are read before the first of them is answered. The others stay in the
+/// socket, so that one connection can't take much more of a VM than the others.
+constexpr std::size_t maxRequestsInFlight = 16;
+/// No more requests of a connection are read while its responses that wait for an earlier one use more than
+/// the VM's memory divided by this.
+constexpr std::size_t heldResponseDivisor = 64;
 
 Routing::CallerLimits callerLimitsFor(const Node& node)
 {
@@ -45,28 +36,29 @@
                                        : Routing::CallerLimits {};
 }
 
-void armTimer(Node& node, const std::shared_ptr<CallerConnection>& caller, Utils::Duration timeout)
+bool canReadNext(const Node& node, const CallerConnection& caller)
 {
-    startTimer(caller->timer, timeout, [&node, caller] {
-        if (isOpen(node, *caller))
-            closeCaller(node, *caller);
-    });
+    if (caller.readState != CallerReadState::Paused || caller.requests.size() >= maxRequestsInFlight)
+        return false;
+    std::size_t heldBytes = 0;
+    for (const CallerRequest& request : caller.requests)
+        heldBytes += request.responseBytes;
+    return heldBytes <= (std::size_t(node.settings.memoryMegabytes) << 20) / heldResponseDivisor;
 }
 
-/// Cancels the exchange when the caller disconnects while its request is in flight.
-void watchForDisconnect(Node& node, const std::shared_ptr<CallerConnection>& caller, std::uint64_t exchangeId)
+/// The next request does not arrive in time: no more are read, those in flight are answered.
+void endReading(Node& node, const std::shared_ptr<CallerConnection>& caller)
 {
-    caller->socket.async_wait(Tcp::socket::wait_read, [&node, caller, exchangeId](const ErrorCode& error) {
-        if (error || !isOpen(node, *caller) || caller->exchangeId != exchangeId)
-            return;
-        char byte = 0;
-        const ssize_t received = ::recv(caller->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool disconnected = received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-        if (!disconnected)
-            return;
-        ++node.counters.callersDisconnected;
+    caller->readState = CallerReadState::Ended;
+    if (caller->requests.empty())
         closeCaller(node, *caller);
-        cancelExchange(node, exchangeId);
+}
+
+void armReadTimer(Node& node, const std::shared_ptr<CallerConnection>& caller, Utils::Duration timeout)
+{
+    startTimer(caller->readTimer, timeout, [&node, caller] {
+        if (isOpen(node, *caller) && !caller->isLingering)
+            endReading(node, caller);
     });
 }
 
@@ -80,8 +72,7 @@
     if (error == http::error::body_limit)
         localResponse.reason = LocalResponseReason::BodyTooLarge;
     node.counters.localResponses.add(localResponse.reason);
-    caller->keepAlive = false;
-    respondToCaller(node, caller->id, makeLocalResponse(localResponse, {}));
+    respondToMalformedRequest(node, caller, makeLocalResponse(localResponse, {}));
 }
 
 bool isMalformed(const ErrorCode& error)
@@ -90,44 +81,91 @@
         && error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
+bool isEndOfInput(const ErrorCode& error)
+{
+    return error == http::error::end_of_stream || error == http::error::partial_message;
+}
+
+void readHeader(Node& node, const std::shared_ptr<CallerConnection>& caller);
+
+/// Handles the end of a read. Returns whether the request is to be processed further.
+bool checkRead(Node& node, const std::shared_ptr<CallerConnection>& caller, const ErrorCode& error)
+{
+    caller->isReadPending = false;
+    if (!isOpen(node, *caller))
+        return false;
+    if (caller->isLingering) {
+        if (error)
+            closeCaller(node, *caller);
+        else
+            discardInput(node, caller);
+        return false;
+    }
+    if (std::exchange(caller->isClosingIfIdle, false) && error == boost::asio::error::operation_aborted) {
+        if (hasBegunRequest(*caller))
+            readHeader(node, caller);
+        else
+            closeCaller(node, *caller);
+        return false;
+    }
+    if (error && !isMalformed(error)) {
+        if (isEndOfInput(error))
+            handleEndOfInput(node, caller);
+        else
+            disconnectCaller(node, caller);
+        return false;
+    }
+    if (caller->readState == CallerReadState::Ended) {
+        watchForDisconnect(node, caller);
+        return false;
+    }
+    if (error)
+        rejectMalformedRequest(node, caller, error);
+    return !error;
+}
+
 void handleRequest(Node& node, const std::shared_ptr<CallerConnection>& caller)
 {
-    cancelTimer(caller->timer);
-    caller->keepAlive = caller->parser->keep_alive();
+    cancelTimer(caller->readTimer);
+    const bool keepAlive = caller->parser->keep_alive();
     Platform::HttpRequest request = caller->parser->release();
     caller->parser.reset();
-    caller->isReadingBody = false;
-    beginExchange(node, *caller, std::move(request));
-    if (isOpen(node, *caller) && caller->exchangeId != 0)
-        watchForDisconnect(node, caller, caller->exchangeId);
+    caller->awaitsContinue = false;
+    caller->readState = keepAlive ? CallerReadState::Paused : CallerReadState::Ended;
+    beginExchange(node, caller, std::move(request), keepAlive);
+    if (!isOpen(node, *caller))
+        return;
+    readRequest(node, caller);
+    if (!caller->isReadPending)
+        watchForDisconnect(node, caller);
 }
 
 void readBody(Node& node, const std::shared_ptr<CallerConnection>& caller)
 {
-    armTimer(node, caller, bodyReadTimeout);
+    armReadTimer(node, caller, bodyReadTimeout);
+    caller->isReadPending = true;
     http::async_read(caller->socket, caller->buffer, *caller->parser,
         [&node, caller](const ErrorCode& error, std::size_t) {
-            if (!isOpen(node, *caller))
-                return;
-            if (!error)
+            if (checkRead(node, caller, error))
                 handleRequest(node, caller);
-            else if (isMalformed(error))
-                rejectMalformedRequest(node, caller, error);
-            else
-                closeCaller(node, *caller);
         });
 }
 
-/// Sends the interim response 100 (Continue) and then reads the body.
-void sendContinue(Node& node, const std::shared_ptr<CallerConnection>& caller)
+void handleHeader(Node& node, const std::shared_ptr<CallerConnection>& caller)
+{
+    caller->readState = CallerReadState::Body;
+    caller->awaitsContinue = caller->parser->get()[http::field::expect] == "100-continue";
+    sendContinueIfDue(node, caller);
+    readBody(node, caller);
+}
+
+void readHeader(Node& node, const std::shared_ptr<CallerConnection>& caller)
 {
-    static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-    boost::asio::async_write(caller->socket, boost::asio::buffer(continueResponse),
+    caller->isReadPending = true;
+    http::async_read_header(caller->socket, caller->buffer, *caller->parser,
         [&node, caller](const ErrorCode& error, std::size_t) {
-            if (isOpen(node, *caller) && !error)
-                readBody(node, caller);
-            else if (isOpen(node, *caller))
-                closeCaller(node, *caller);
+            if (checkRead(node, caller, error))
+                handleHeader(node, caller);
         });
 }
 
@@ -136,29 +174,24 @@
 void readRequest(Node& node, const std::shared_ptr<CallerConnection>& caller)
 {
     const Routing::CallerLimits limits = Internal::callerLimitsFor(node);
+    // Until a caller waits for no response, only the end of its connection ends the wait for a request.
+    if (caller->requests.empty() && caller->readState != CallerReadState::Body)
+        Internal::armReadTimer(node, caller, limits.idleTimeout + Internal::idleTimeoutMargin);
+    if (!Internal::canReadNext(node, *caller))
+        return;
+    caller->readState = CallerReadState::Header;
     caller->parser.emplace();
     caller->parser->header_limit(
         limits.maxHeaderBytes + (caller->isPeer ? Internal::maxForwardingHeaderBytes : 0));
     caller->parser->body_limit(limits.maxBodyBytes);
-    Internal::armTimer(node, caller, limits.idleTimeout + Internal::idleTimeoutMargin);
-    http::async_read_header(caller->socket, caller->buffer, *caller->parser,
-        [&node, caller](const Internal::ErrorCode& error, std::size_t) {
-            if (!Internal::isOpen(node, *caller))
-                return;
-            if (error && Internal::isMalformed(error)) {
-                Internal::rejectMalformedRequest(node, caller, error);
-                return;
-            }
-            if (error) {
-                Internal::closeCaller(node, *caller);
-                return;
-            }
-            caller->isReadingBody = true;
-            if (caller->parser->get()[http::field::expect] == "100-continue")
-                Internal::sendContinue(node, caller);
-            else
-                Internal::readBody(node, caller);
-        });
+    Internal::readHeader(node, caller);
+}
+
+void sendContinueIfDue(Node& node, const std::shared_ptr<CallerConnection>& caller)
+{
+    if (caller->awaitsContinue && caller->requests.empty()
+        && writeInterimResponse(node, caller, "HTTP/1.1 100 Continue\r\n\r\n"))
+        caller->awaitsContinue = false;
 }
 
 void acceptCaller(Node& node, Tcp::socket socket, bool isPeer)
@@ -172,47 +205,26 @@
     readRequest(node, caller);
 }
 
-void respondToCaller(Node& node, std::uint64_t id, HttpResponse response)
+bool hasBegunRequest(CallerConnection& caller)
 {
-    const auto found = node.traffic.callerConnections.find(id);
-    if (found == node.traffic.callerConnections.end())
-        return;
-    const std::shared_ptr<CallerConnection> caller = found->second;
-    caller->exchangeId = 0;
-    caller->keepAlive = caller->keepAlive && !node.stopping;
-    response.keep_alive(caller->keepAlive);
-    caller->response.emplace(std::move(response));
-    caller->responseBytes = caller->response->body().capacity();
-    node.traffic.responseBytes += caller->responseBytes;
-    Internal::armTimer(node, caller, Internal::responseWriteTimeout);
-    http::async_write(
-        caller->socket, *caller->response, [&node, caller](const Internal::ErrorCode& error, std::size_t) {
-            caller->response.reset();
-            node.traffic.responseBytes -= std::exchange(caller->responseBytes, 0);
-            if (!Internal::isOpen(node, *caller))
-                return;
-            if (error || !caller->keepAlive) {
-                Internal::ErrorCode ignored;
-                caller->socket.shutdown(Tcp::socket::shutdown_send, ignored);
-                Internal::closeCaller(node, *caller);
-                return;
-            }
-            readRequest(node, caller);
-        });
+    return caller.readState == CallerReadState::Body || caller.buffer.size() > 0
+        || (caller.parser && caller.parser->got_some()) || isReadableOrClosed(caller.socket);
 }
 
 void closeIdleCallers(Node& node)
 {
     std::vector<std::shared_ptr<CallerConnection>> idle;
     for (auto it = node.traffic.callerConnections.begin(); it != node.traffic.callerConnections.end(); ++it) {
-        const CallerConnection& caller = *it->second;
-        const bool requestBegun = caller.isReadingBody || caller.exchangeId != 0 || caller.response
-            || caller.buffer.size() > 0 || (caller.parser && caller.parser->got_some());
-        if (!requestBegun)
+        CallerConnection& caller = *it->second;
+        if (caller.requests.empty() && !caller.isLingering && !hasBegunRequest(caller))
             idle.push_back(it->second);
     }
-    for (const std::shared_ptr<CallerConnection>& caller : idle)
-        Internal::closeCaller(node, *caller);
+    for (const std::shared_ptr<CallerConnection>& caller : idle) {
+        // A read that has completed has taken bytes from the socket already; its handler runs later.
+        Internal::ErrorCode ignored;
+        caller->isClosingIfIdle = true;
+        caller->socket.cancel(ignored);
+    }
 }
 
 } // namespace Edge
--- a/src/libs/edge/counters.h
+++ b/src/libs/edge/counters.h
@@ -23,6 +23,8 @@
     /// Requests that other VMs have forwarded to this one.
     std::uint64_t forwardedRequests = 0;
     std::uint64_t callersDisconnected = 0;
+    /// Requests that arrived while an earlier one of their connection had no response.
+    std::uint64_t requestsAhead = 0;
     std::uint64_t newConnections = 0;
     std::uint64_t storeReturns = 0;
     std::uint64_t topicRestarts = 0;
--- a/src/libs/edge/exchange.h
+++ b/src/libs/edge/exchange.h
@@ -41,6 +41,8 @@
     Utils::Instant targetAt {};
     /// Whether the caller has sent this request before.
     bool isCallerRetry = false;
+    /// Whether the request had to wait for others of its connection.
+    bool hasWaitedForTurn = false;
     unsigned attemptCount = 0;
     /// Attempts that ended without a connection; they sent the request to no upstream.
     unsigned unconnectedAttemptCount = 0;
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -2,7 +2,7 @@
 #include <balancing/chooseupstream.h>
 #include <balancing/decidenext.h>
 #include <balancing/loadmodel.h>
-#include <edge/callers.h>
+#include <edge/callerresponses.h>
 #include <edge/candidates.h>
 #include <edge/clock.h>
 #include <edge/crashreports.h>
@@ -82,7 +82,7 @@
     HttpResponse httpResponse = makeLocalResponse(response, exchange->callerHeaders.requestId);
     if (exchange->forwarded)
         setForwardingOutcome(httpResponse, forwardingOutcomeFor(response), node.settings.zone);
-    respondToCaller(node, exchange->callerId, std::move(httpResponse));
+    respondToCaller(node, exchange->callerId, exchange->id, std::move(httpResponse));
 }
 
 void startNextAttempt(Node& node, const ExchangePtr& exchange);
@@ -144,7 +144,8 @@
     context.unloadedLatency = baselineLatencyFor(node, exchange);
     context.timeToTarget = exchange.targetAt - at;
     context.timeLeft = exchange.deadlineAt - at;
-    context.isCallerRetry = exchange.isCallerRetry;
+    // A request that had to wait for others of its connection is not late because of load.
+    context.isCallerRetry = exchange.isCallerRetry || exchange.hasWaitedForTurn;
     context.seed = Utils::stableHash(exchange.callerHeaders.requestId.value);
     return Balancing::admit(context);
 }
@@ -265,6 +266,8 @@
     exchange.startedAt = now();
     const Utils::Duration timeout = exchange.callerHeaders.timeout.value_or(defaultCallerTimeout);
     exchange.deadlineAt = exchange.startedAt + std::min(timeout, exchange.route->timeout);
+    if (node.stopDeadline)
+        exchange.deadlineAt = std::min(exchange.deadlineAt, *node.stopDeadline);
     const Utils::Duration earlierElapsed = estimateEarlierElapsed(node, exchange);
     exchange.isCallerRetry = earlierElapsed > callerRetryThreshold;
     exchange.targetAt = exchange.startedAt + exchange.route->targetLatency - earlierElapsed;
@@ -337,7 +340,7 @@
     if (exchange->forwarded)
         setForwardingOutcome(response, ForwardingOutcome::Delivered, node.settings.zone);
     response.prepare_payload();
-    respondToCaller(node, exchange->callerId, std::move(response));
+    respondToCaller(node, exchange->callerId, exchange->id, std::move(response));
 }
 
 void trackPoisonRequest(Node& node, const Exchange& exchange, AttemptOutcome outcome)
@@ -397,22 +400,33 @@
     return std::max(defaultRetryAfter, baselineLatencyFor(node, exchange));
 }
 
+void queueRequest(Node& node, CallerConnection& caller, const Exchange& exchange, bool keepAlive)
+{
+    constexpr unsigned firstVersionWithInterimResponses = 11;
+    node.counters.requestsAhead += caller.requests.empty() ? 0 : 1;
+    CallerRequest& queued = caller.requests.emplace_back();
+    queued.exchangeId = exchange.id;
+    queued.keepAlive = keepAlive;
+    queued.acceptsInterimResponses = exchange.request.version() >= firstVersionWithInterimResponses;
+}
+
 } // namespace Internal
 
-void beginExchange(Node& node, CallerConnection& caller, Platform::HttpRequest request)
+void beginExchange(Node& node, const std::shared_ptr<CallerConnection>& caller, Platform::HttpRequest request,
+    bool keepAlive)
 {
     const Internal::ExchangePtr exchange = std::make_shared<Exchange>(node.context);
     exchange->id = ++node.traffic.lastId;
-    exchange->callerId = caller.id;
+    exchange->callerId = caller->id;
     exchange->callerHeaders = Platform::parseCallerHeaders(request);
-    if (caller.isPeer)
+    if (caller->isPeer)
         exchange->forwarded = takeForwardedRequest(request);
     exchange->request = std::move(request);
     exchange->startedAt = now();
-    caller.exchangeId = exchange->id;
+    Internal::queueRequest(node, *caller, *exchange, keepAlive);
     node.traffic.exchanges.emplace(exchange->id, exchange);
     node.traffic.bufferedBodyBytes += exchange->request.body().size();
-    if (caller.isPeer && !exchange->forwarded) {
+    if (caller->isPeer && !exchange->forwarded) {
         Internal::respondLocally(node, exchange, LocalResponseReason::BadRequest, {});
         return;
     }
@@ -420,15 +434,25 @@
         Internal::respondLocally(node, exchange, *reason, Internal::defaultRetryAfter);
         return;
     }
+    caller->requests.back().isIdempotent = Routing::isIdempotent(exchange->route->kind);
     Internal::setDeadlines(node, *exchange);
     Internal::countRequest(node, *exchange);
     exchange->fingerprint = Internal::computeFingerprint(exchange->request);
-    if (const std::optional<Utils::Duration> left = quarantineLeft(node, exchange->fingerprint)) {
-        Internal::respondLocally(node, exchange, LocalResponseReason::PoisonQuarantined, *left);
-        return;
-    }
     Internal::armDeadline(node, exchange);
-    Internal::startNextAttempt(node, exchange);
+    exchange->hasWaitedForTurn = !isNextDue(*caller);
+    startDueRequests(node, caller);
+}
+
+void startExchange(Node& node, std::uint64_t id)
+{
+    const auto found = node.traffic.exchanges.find(id);
+    if (found == node.traffic.exchanges.end())
+        return;
+    const Internal::ExchangePtr exchange = found->second;
+    if (const std::optional<Utils::Duration> left = quarantineLeft(node, exchange->fingerprint))
+        Internal::respondLocally(node, exchange, LocalResponseReason::PoisonQuarantined, *left);
+    else
+        Internal::startNextAttempt(node, exchange);
 }
 
 void handleAttemptOutcome(
@@ -449,7 +473,11 @@
         logAttemptOutcome(*exchange, upstream, outcome, step);
     switch (step) {
     case Balancing::NextStep::DeliverResponse:
-        Internal::deliverResponse(node, exchange, upstream, std::move(*response));
+        // To the caller such a status would say that the request has not run.
+        if (Platform::isNotRunStatus(response->result_int()))
+            Internal::respondLocally(node, exchange, LocalResponseReason::UpstreamFailed, {});
+        else
+            Internal::deliverResponse(node, exchange, upstream, std::move(*response));
         break;
     case Balancing::NextStep::Retry:
         if (outcome == Balancing::AttemptOutcome::Misdirected && exchange->service->keyed)
@@ -529,6 +557,18 @@
     Internal::removeExchange(node, exchange);
 }
 
+void abortExchanges(Node& node)
+{
+    std::vector<Internal::ExchangePtr> aborted;
+    for (auto it = node.traffic.exchanges.begin(); it != node.traffic.exchanges.end(); ++it)
+        aborted.push_back(it->second);
+    for (const Internal::ExchangePtr& exchange : aborted) {
+        if (Internal::isActive(node, *exchange))
+            Internal::respondLocally(
+                node, exchange, LocalResponseReason::Stopping, Internal::defaultRetryAfter);
+    }
+}
+
 void resumeWaitingExchanges(Node& node)
 {
     const Utils::Instant at = now();
--- a/src/libs/edge/exchanges.h
+++ b/src/libs/edge/exchanges.h
@@ -11,8 +11,13 @@
 /// Handling of a request from its arrival to its final response.
 namespace Edge {
 
-/// Starts the exchange for a complete request from \a caller.
-void beginExchange(Node& node, CallerConnection& caller, Platform::HttpRequest request);
+/// Creates the exchange for a complete request from \a caller, and starts it if it need not wait for requests
+/// ahead of it. \param keepAlive whether the caller may send another request after it.
+void beginExchange(Node& node, const std::shared_ptr<CallerConnection>& caller, Platform::HttpRequest request,
+    bool keepAlive);
+
+/// Starts the first attempt of an exchange that has waited for requests ahead of it.
+void startExchange(Node& node, std::uint64_t exchangeId);
 
 /// Handles the outcome of an attempt: delivers the response, retries or responds with an error.
 /// \param response the response, if it was received completely.
@@ -31,6 +36,9 @@
 /// Cancels an exchange whose caller has disconnected, with any attempt in flight.
 void cancelExchange(Node& node, std::uint64_t exchangeId);
 
+/// Ends all exchanges with responses of this VM, because its process is about to end.
+void abortExchanges(Node& node);
+
 /// Retries exchanges that wait for a holder, after the assignments or the directory have changed.
 void resumeWaitingExchanges(Node& node);
 
--- a/src/libs/edge/localresponsereason.h
+++ b/src/libs/edge/localresponsereason.h
@@ -34,9 +34,11 @@
     DeadlineExceeded,
     /// The request is quarantined because upstream connections were repeatedly lost while it ran.
     PoisonQuarantined,
+    /// The process ends before the request could be completed.
+    Stopping,
 };
 
-inline constexpr std::array<Utils::EnumName<LocalResponseReason>, 15> localResponseReasonNames { {
+inline constexpr std::array<Utils::EnumName<LocalResponseReason>, 16> localResponseReasonNames { {
     { LocalResponseReason::NoConfiguration, "no_configuration" },
     { LocalResponseReason::NoRoute, "no_route" },
     { LocalResponseReason::BadRequest, "bad_request" },
@@ -52,6 +54,7 @@
     { LocalResponseReason::UpstreamFailed, "upstream_failed" },
     { LocalResponseReason::DeadlineExceeded, "time_up" },
     { LocalResponseReason::PoisonQuarantined, "poison_held" },
+    { LocalResponseReason::Stopping, "stopping" },
 } };
 
 } // namespace Edge
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -70,6 +70,9 @@
         static_cast<double>(counters.retries));
     Internal::writeSingleSample(text, "crocus_callers_left_total", "counter",
         "Callers that left before their answer", static_cast<double>(counters.callersDisconnected));
+    Internal::writeSingleSample(text, "crocus_requests_ahead_total", "counter",
+        "Requests that arrived while an earlier one of their connection had no response",
+        static_cast<double>(counters.requestsAhead));
     Internal::writeSingleSample(text, "crocus_new_connections_total", "counter",
         "Connections made to upstreams", static_cast<double>(counters.newConnections));
     Internal::writeSingleSample(text, "crocus_store_returns_total", "counter",
--- a/src/libs/edge/node.h
+++ b/src/libs/edge/node.h
@@ -67,6 +67,8 @@
     RequestLimits requestLimits;
     /// A stop was requested: connections of callers are closed as their requests finish.
     bool stopping = false;
+    /// Set with \c stopping: requests that arrive from then on are to be answered until this time.
+    std::optional<Utils::Instant> stopDeadline;
     /// The load balancer has removed this VM, so new connections are no longer accepted.
     bool closing = false;
 };
--- a/src/libs/edge/peerforwarding.cpp
+++ b/src/libs/edge/peerforwarding.cpp
@@ -176,6 +176,7 @@
     case LocalResponseReason::NoConfiguration:
     case LocalResponseReason::MemoryLimitReached:
     case LocalResponseReason::Unreachable:
+    case LocalResponseReason::Stopping:
         return ForwardingOutcome::Declined;
     default:
         return ForwardingOutcome::NotRun;
--- a/src/libs/edge/service.cpp
+++ b/src/libs/edge/service.cpp
@@ -1,6 +1,7 @@
 #include <edge/clusterviewupdates.h>
 #include <edge/callers.h>
 #include <edge/clock.h>
+#include <edge/exchanges.h>
 #include <edge/topicfollowing.h>
 #include <edge/leaderelection.h>
 #include <edge/metricspage.h>
@@ -43,6 +44,10 @@
 /// Part of the termination grace period that is left when the process aborts the requests still in flight.
 constexpr Utils::Duration shutdownReserve = std::chrono::milliseconds(300);
 constexpr Utils::Duration stopCheckInterval = std::chrono::milliseconds(50);
+/// Part of the reserve for writing the responses to aborted requests.
+constexpr Utils::Duration abortFlushTime = std::chrono::milliseconds(150);
+/// Time before the abort at which requests that arrive during a stop have to be answered.
+constexpr Utils::Duration stopDeadlineMargin = std::chrono::milliseconds(100);
 /// The settings are also polled, as they may change without a SIGHUP.
 constexpr Utils::Duration settingsReloadInterval = std::chrono::seconds(3);
 
@@ -110,11 +115,11 @@
 void acceptNext(Service& service, Tcp::acceptor& acceptor, bool isPeer)
 {
     acceptor.async_accept([&service, &acceptor, isPeer](const ErrorCode& error, Tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted || !acceptor.is_open())
-            return;
+        // A connection may have been accepted just before the acceptor was closed.
         if (!error)
             acceptCaller(service.node, std::move(socket), isPeer);
-        acceptNext(service, acceptor, isPeer);
+        if (error != boost::asio::error::operation_aborted && acceptor.is_open())
+            acceptNext(service, acceptor, isPeer);
     });
 }
 
@@ -135,23 +140,42 @@
         listenOn(service, service.peerAcceptor, toTcpEndpoint({ settings.address, port }), true);
 }
 
+/// Accepts the connections that callers have opened already, as closing the acceptor would reset them.
+void closeAcceptor(Node& node, Tcp::acceptor& acceptor, bool isPeer)
+{
+    ErrorCode error;
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        Tcp::socket socket(node.context);
+        acceptor.accept(socket, error);
+        if (!error)
+            acceptCaller(node, std::move(socket), isPeer);
+    }
+    acceptor.close(error);
+}
+
 void checkStopProgress(Service& service)
 {
     Node& node = service.node;
     const Utils::Duration elapsed = now() - service.stopRequestedAt;
+    const Utils::Duration abortAfter = node.settings.operatingLimits.terminationGracePeriod - shutdownReserve;
     if (!node.closing && elapsed >= loadBalancerRemovalDelay) {
         node.closing = true;
-        ErrorCode ignored;
-        service.callerAcceptor.close(ignored);
-        service.peerAcceptor.close(ignored);
+        closeAcceptor(node, service.callerAcceptor, false);
+        closeAcceptor(node, service.peerAcceptor, true);
     }
     if (node.closing)
         closeIdleCallers(node);
-    const bool gracePeriodExpired
-        = elapsed >= node.settings.operatingLimits.terminationGracePeriod - shutdownReserve;
-    if (gracePeriodExpired || (node.closing && node.traffic.callerConnections.empty())) {
+    if (elapsed >= abortAfter && !node.traffic.exchanges.empty()) {
+        Logging::write(Logging::Level::Warning, "requests_aborted",
+            { { "after_ms", Utils::toMilliseconds(elapsed) },
+                { "requests", node.traffic.exchanges.size() } });
+        abortExchanges(node);
+    }
+    if (elapsed >= abortAfter + abortFlushTime || (node.closing && node.traffic.callerConnections.empty())) {
         Logging::write(Logging::Level::Info, "stopped",
-            { { "after_ms", Utils::toMilliseconds(elapsed) }, { "cut", node.traffic.exchanges.size() } });
+            { { "after_ms", Utils::toMilliseconds(elapsed) },
+                { "callers", node.traffic.callerConnections.size() } });
         node.context.stop();
         return;
     }
@@ -171,6 +195,8 @@
             { "callers", service.node.traffic.callerConnections.size() } });
     service.node.stopping = true;
     service.stopRequestedAt = now();
+    service.node.stopDeadline = service.stopRequestedAt
+        + service.node.settings.operatingLimits.terminationGracePeriod - shutdownReserve - stopDeadlineMargin;
     resign(service.node, "resigned");
     checkStopProgress(service);
 }
--- a/src/libs/edge/upstreamconnection.h
+++ b/src/libs/edge/upstreamconnection.h
@@ -41,6 +41,10 @@
     unsigned skippedResponses = 0;
     /// The exchange that uses the connection; 0 while it is idle.
     std::uint64_t exchangeId = 0;
+    /// The exchange that used it last.
+    std::uint64_t lastExchangeId = 0;
+    /// Whether the upstream has named the request in a response on this connection.
+    bool namesRequests = false;
     /// Some of the request may have reached the upstream.
     bool requestHandedOver = false;
     bool requestWritten = false;
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -101,7 +101,12 @@
     constexpr unsigned firstServerErrorStatus = 500;
     if (serverHeaders.notRun)
         return status == statusMisdirected ? AttemptOutcome::Misdirected : AttemptOutcome::Rejected;
-    return status >= firstServerErrorStatus ? AttemptOutcome::ServerError : AttemptOutcome::Responded;
+    if (status >= firstServerErrorStatus)
+        return AttemptOutcome::ServerError;
+    // Upstreams sign their successful responses; another one is not, or not wholly, the upstream's.
+    const bool isSuccess = http::to_status_class(status) == http::status_class::successful;
+    return isSuccess && !serverHeaders.isStamped ? AttemptOutcome::MalformedResponse
+                                                 : AttemptOutcome::Responded;
 }
 
 Balancing::RouteStats* findRouteStats(Node& node, const UpstreamConnection& connection)
@@ -192,6 +197,18 @@
         readResponse(node, connection);
 }
 
+/// Whether a response belongs to an earlier request on the connection. One that names no request can't be
+/// told from such a response if the upstream has named requests before.
+bool belongsToOtherRequest(
+    UpstreamConnection& connection, const Exchange& exchange, const Utils::RequestId& named)
+{
+    const Utils::RequestId& expected = exchange.callerHeaders.requestId;
+    if (named.value.empty())
+        return connection.namesRequests && !expected.value.empty();
+    connection.namesRequests = connection.namesRequests || named == expected;
+    return named != expected;
+}
+
 void handleResponse(Node& node, const ConnectionPtr& connection)
 {
     const bool canKeepAlive = connection->parser->keep_alive();
@@ -205,9 +222,8 @@
         = Platform::parseServerHeaders(response.result_int(), response);
     const auto exchange = node.traffic.exchanges.find(connection->exchangeId);
     const bool isForOtherRequest = exchange != node.traffic.exchanges.end()
-        && !serverHeaders.requestId.value.empty()
-        && serverHeaders.requestId != exchange->second->callerHeaders.requestId;
-    if (isForOtherRequest && canKeepAlive) {
+        && belongsToOtherRequest(*connection, *exchange->second, serverHeaders.requestId);
+    if (isForOtherRequest && canKeepAlive && !serverHeaders.requestId.value.empty()) {
         // Duplicate, late response to an earlier request on this connection; the expected response follows.
         skipResponse(node, connection);
         return;
@@ -223,7 +239,7 @@
         node, connection, canKeepAlive, serverHeaders.keepAliveTimeout.value_or(defaultKeepAliveTimeout));
     if (outcome == AttemptOutcome::Misdirected && isFromOtherUpstream(serverHeaders, connection->upstream))
         recordAddressReuse(node, connection->upstream, connection->endpoint, serverHeaders.server);
-    if (isForOtherRequest)
+    if (isForOtherRequest || outcome == AttemptOutcome::MalformedResponse)
         finishAttempt(node, connection, outcome);
     else
         finishAttempt(node, connection, outcome, std::move(response));
@@ -326,7 +342,10 @@
         });
 }
 
-ConnectionPtr acquireIdleConnection(Node& node, const Utils::UpstreamId& upstream, double maxIdleShare)
+/// Takes an idle connection to \a upstream that can be reused. A connection that has carried the same request
+/// just before is not: a second copy of the response to that attempt could not be told from the next one.
+ConnectionPtr acquireIdleConnection(
+    Node& node, const Utils::UpstreamId& upstream, std::uint64_t exchangeId, double maxIdleShare)
 {
     std::vector<std::uint64_t>& idle = node.traffic.upstreamStates[upstream].idleConnectionIds;
     while (!idle.empty()) {
@@ -335,6 +354,10 @@
         if (found == node.traffic.upstreamConnections.end())
             continue;
         ConnectionPtr connection = found->second;
+        if (connection->lastExchangeId == exchangeId) {
+            closeConnection(node, *connection);
+            continue;
+        }
         const Utils::Duration age = now() - connection->idleSince;
         const bool isFresh = std::chrono::duration<double>(age) < connection->keepAliveTimeout * maxIdleShare;
         if (isFresh && !isReadableOrClosed(connection->socket))
@@ -362,8 +385,8 @@
     const Routing::UpstreamRecord& upstream, Utils::Duration timeout)
 {
     const bool idempotent = Routing::isIdempotent(exchange->route->kind);
-    Internal::ConnectionPtr connection = Internal::acquireIdleConnection(
-        node, upstream.id, idempotent ? Internal::idleReuseShare : Internal::unsafeIdleReuseShare);
+    Internal::ConnectionPtr connection = Internal::acquireIdleConnection(node, upstream.id, exchange->id,
+        idempotent ? Internal::idleReuseShare : Internal::unsafeIdleReuseShare);
     const bool reused = connection != nullptr;
     if (!reused) {
         connection = std::make_shared<UpstreamConnection>(++node.traffic.lastId, node.context);
@@ -374,6 +397,7 @@
     }
     connection->requestHandedOver = false;
     connection->exchangeId = exchange->id;
+    connection->lastExchangeId = exchange->id;
     exchange->connectionId = connection->id;
     const Utils::Instant at = now();
     connection->startedAt = at;
--- a/src/libs/platform/headers.cpp
+++ b/src/libs/platform/headers.cpp
@@ -4,6 +4,7 @@
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
@@ -113,6 +114,12 @@
     return serverHeaders;
 }
 
+bool isNotRunStatus(unsigned status)
+{
+    constexpr std::array<unsigned, 4> statuses { 408, Internal::statusMisdirected, 429, 503 };
+    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+}
+
 std::optional<std::uint64_t> parseStoreEra(const HttpFields& fields)
 {
     return Internal::parseNumber<std::uint64_t>(Internal::fieldValue(fields, Internal::storeEraHeader));
--- a/src/libs/platform/headers.h
+++ b/src/libs/platform/headers.h
@@ -19,6 +19,9 @@
 /// Reads the headers of a server's response. Malformed values are treated as absent.
 ServerHeaders parseServerHeaders(unsigned status, const HttpFields& fields);
 
+/// Whether \a status in a response to a caller states that the request has not run and never will.
+bool isNotRunStatus(unsigned status);
+
 /// Returns the era of the store that sent a response, if the response has one.
 std::optional<std::uint64_t> parseStoreEra(const HttpFields& fields);
 
--- a/tests/auto/edge/tst_endlessbytes.cpp
+++ b/tests/auto/edge/tst_endlessbytes.cpp
@@ -23,8 +23,10 @@
         if (it->second->parser)
             bytes += it->second->parser->get().body().capacity();
     }
-    for (auto it = traffic.callerConnections.begin(); it != traffic.callerConnections.end(); ++it)
-        bytes += it->second->response ? it->second->response->body().capacity() : 0;
+    for (auto it = traffic.callerConnections.begin(); it != traffic.callerConnections.end(); ++it) {
+        for (const Edge::CallerRequest& request : it->second->requests)
+            bytes += request.response ? request.response->body().capacity() : 0;
+    }
     for (auto it = vm.node.calls.calls.begin(); it != vm.node.calls.calls.end(); ++it) {
         bytes += it->second->buffer.capacity();
         if (it->second->parser)
--- a/tests/auto/edge/tst_upstreamfaults.cpp
+++ b/tests/auto/edge/tst_upstreamfaults.cpp
@@ -1,3 +1,4 @@
+#include "repeatingupstream.h"
 #include "testenvironment.h"
 
 #include <catch2/catch.hpp>
@@ -35,6 +36,8 @@
         { "garbled, unsafe", &ServerFaults::garble, true, 502, 1 },
         { "failure", &ServerFaults::fail, false, 200, 2 },
         { "failure, unsafe", &ServerFaults::fail, true, 500, 1 },
+        { "not signed", &ServerFaults::unsign, false, 200, 2 },
+        { "not signed, unsafe", &ServerFaults::unsign, true, 502, 1 },
         { "silent", &ServerFaults::silent, false, 200, 2 },
         { "silent, unsafe", &ServerFaults::silent, true, 504, 1 },
     }));
@@ -71,6 +74,67 @@
     }
 }
 
+TEST_CASE(
+    "A status that would say that the request has not run is not passed on if it has", "[upstreamfaults]")
+{
+    struct Row {
+        unsigned upstreamStatus;
+        unsigned status;
+    };
+    const Row row
+        = GENERATE(values<Row>({ { 408, 502 }, { 429, 502 }, { 503, 502 }, { 500, 500 }, { 404, 404 } }));
+    INFO(row.upstreamStatus);
+    TestEnvironment environment;
+    TestUpstream& upstream = addUpstream(environment, "i-1", "plain");
+    Edge::Service& vm = startReadyVm(environment);
+    upstream.standIn.faults->fail = 1;
+    upstream.standIn.faults->failStatus = row.upstreamStatus;
+    CallerRequest callerRequest;
+    callerRequest.path = "/unsafe/1";
+    callerRequest.method = http::verb::post;
+    const CallerResponse response = sendRequest(environment, vm, callerRequest);
+    CHECK(response.status == row.status);
+    CHECK(response.serverStamp.empty() == (row.status != row.upstreamStatus));
+    CHECK(upstream.standIn.ran.size() == 1);
+}
+
+TEST_CASE("A response that names no request is not delivered where an earlier one could be meant",
+    "[upstreamfaults]")
+{
+    TestEnvironment environment;
+    TestUpstream& upstream = addUpstream(environment, "i-1", "plain");
+    Edge::Service& vm = startReadyVm(environment);
+    CallerRequest callerRequest;
+    callerRequest.path = "/unsafe/1";
+    callerRequest.method = http::verb::post;
+    REQUIRE(sendRequest(environment, vm, callerRequest).status == 200);
+    upstream.standIn.faults->unname = 1;
+    CHECK(sendRequest(environment, vm, callerRequest).status == 502);
+    CHECK(sendRequest(environment, vm, callerRequest).status == 200);
+    CHECK(upstream.standIn.ran.size() == 3);
+}
+
+TEST_CASE(
+    "A second copy of a rejection does not reject the next attempt of the same request", "[upstreamfaults]")
+{
+    TestEnvironment environment;
+    RepeatingUpstream upstream(environment.context);
+    StandInStore::putRecord(environment.store, "keyed.servers", "i-1",
+        R"({"address":")" + addressOf(upstream)
+            + R"(","info":{"service":"keyed","version":"v1","zone":"z1","slots":2},)"
+            + R"("status":{"state":"ready","seq_no":1,"cold_left":"0ms"},"born":1})");
+    Edge::Service& vm = startReadyVm(environment);
+    REQUIRE(runUntil(environment, [&upstream] { return upstream.grants > 0; }));
+    runFor(environment, 200ms);
+    CallerRequest callerRequest;
+    callerRequest.path = "/key/1";
+    callerRequest.key = 7;
+    const CallerResponse response = sendRequest(environment, vm, callerRequest);
+    CHECK(response.status == 200);
+    CHECK(response.body == "ran 1");
+    CHECK(upstream.ran == 1);
+}
+
 TEST_CASE("No request fails because an upstream has terminated", "[upstreamfaults]")
 {
     TestEnvironment environment;
--- a/tests/standins/platformserver/platformserver.cpp
+++ b/tests/standins/platformserver/platformserver.cpp
@@ -123,7 +123,11 @@
         reply.headers["Server-Limit"] = server.limit;
     reply.body = server.id + " " + request.path;
     if (takeOne(server.faults->fail))
-        reply.status = 500;
+        reply.status = server.faults->failStatus;
+    if (takeOne(server.faults->unsign))
+        reply.headers.erase("X-Server-Stamp");
+    if (takeOne(server.faults->unname))
+        reply.headers.erase("X-Request-Id");
     reply.drop = takeOne(server.faults->loseAnswer);
     reply.truncate = takeOne(server.faults->truncate);
     if (takeOne(server.faults->garble))
@@ -133,6 +137,12 @@
     return reply;
 }
 
+std::chrono::milliseconds workOf(const PlatformServer& server, const HttpRequest& request)
+{
+    const auto found = server.workByPath.find(request.path);
+    return found == server.workByPath.end() ? server.work : found->second;
+}
+
 void run(PlatformServer& server, const HttpRequest& request, const ReplyFunction& reply)
 {
     server.ran.push_back(request);
@@ -140,7 +150,7 @@
         return;
     const HttpReply answer = answerTo(server, request);
     const std::shared_ptr<boost::asio::steady_timer> timer
-        = std::make_shared<boost::asio::steady_timer>(server.context, server.work);
+        = std::make_shared<boost::asio::steady_timer>(server.context, workOf(server, request));
     timer->async_wait([timer, reply, answer](const boost::system::error_code& error) {
         if (!error)
             reply(answer);
--- a/tests/standins/platformserver/platformserver.h
+++ b/tests/standins/platformserver/platformserver.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -29,6 +30,8 @@
     /// The highest tokens seen; their time does not matter.
     std::vector<HeldKeys> fences;
     std::chrono::milliseconds work { 5 };
+    /// Work of single paths; the others take \c work.
+    std::map<std::string, std::chrono::milliseconds> workByPath;
     /// Requests that it ran.
     std::vector<StandInSupport::HttpRequest> ran;
     /// Requests that reached it, run or not.
--- a/tests/standins/platformserver/serverfaults.h
+++ b/tests/standins/platformserver/serverfaults.h
@@ -21,6 +21,12 @@
     std::size_t extra = 0;
     /// Run, and the server reports a failure.
     std::size_t fail = 0;
+    /// The status of that failure.
+    unsigned failStatus = 500;
+    /// Run, and the answer bears no signature.
+    std::size_t unsign = 0;
+    /// Run, and the answer names no request.
+    std::size_t unname = 0;
     /// Never answered.
     std::size_t silent = 0;
     /// Said not to be the server that was meant.
