Leave slots to urgent requests while they are rejected

Ruled out: unsafe requests that wait for their turn on a connection (these callers send none ahead of them), keys (the service has none).

--- a/src/libs/balancing/admissioncontext.h
+++ b/src/libs/balancing/admissioncontext.h
@@ -20,6 +20,8 @@
     bool isCallerRetry = false;
     /// Seed of the jitter of the retry delay.
     std::uint64_t seed = 0;
+    /// The request would take the last free slot from more urgent ones; see yielding.h.
+    bool mustYield = false;
 };
 
 } // namespace Balancing
--- a/src/libs/balancing/admissiondecision.h
+++ b/src/libs/balancing/admissiondecision.h
@@ -8,6 +8,8 @@
 struct AdmissionDecision {
     bool admitted = true;
     Utils::Duration retryAfter {};
+    /// Rejected to leave room for more urgent requests.
+    bool yielded = false;
 };
 
 } // namespace Balancing
--- a/src/libs/balancing/chooseupstream.cpp
+++ b/src/libs/balancing/chooseupstream.cpp
@@ -98,7 +98,8 @@
     }
     if (!best)
         return std::nullopt;
-    return Placement { best->index, best->expectedLatency };
+    return Placement { best->index, best->expectedLatency,
+        estimateLoad(*candidates[best->index].load, *request.stats, now) };
 }
 
 } // namespace Balancing
--- a/src/libs/balancing/placement.h
+++ b/src/libs/balancing/placement.h
@@ -12,6 +12,8 @@
     /// Index into the list of candidates.
     std::size_t index = 0;
     Utils::Duration expectedLatency {};
+    /// Estimated number of requests there.
+    double load = 0;
 };
 
 } // namespace Balancing
--- a/src/libs/balancing/servicestats.h
+++ b/src/libs/balancing/servicestats.h
@@ -2,6 +2,8 @@
 
 #include <utils/time.h>
 
+#include <map>
+
 namespace Balancing {
 
 /// Statistics of this VM for one service.
@@ -10,6 +12,8 @@
     Utils::Duration serviceTime = std::chrono::milliseconds(200);
     /// Mean number of requests of other VMs at one upstream of the service.
     double meanOtherVmRequests = 0;
+    /// When a request of a priority was last rejected for lack of room; 0 is the most urgent priority.
+    std::map<unsigned, Utils::Instant> rejectedAt;
 };
 
 } // namespace Balancing
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -2,6 +2,7 @@
 #include <balancing/chooseupstream.h>
 #include <balancing/decidenext.h>
 #include <balancing/loadmodel.h>
+#include <balancing/yielding.h>
 #include <edge/callerresponses.h>
 #include <edge/candidates.h>
 #include <edge/clock.h>
@@ -72,6 +73,11 @@
 {
     abandonAttempt(node, *exchange);
     abandonForwarding(node, *exchange);
+    const bool wasRejectedForLoad
+        = reason == LocalResponseReason::Overload || reason == LocalResponseReason::RejectedByUpstreams;
+    if (wasRejectedForLoad)
+        Balancing::recordRejectedForLoad(
+            node.traffic.serviceStats[exchange->service->id], exchange->route->priority, now());
     LocalResponse response;
     response.reason = reason;
     response.mayHaveRun = exchange->mayHaveRun;
@@ -136,11 +142,15 @@
     return request;
 }
 
-Balancing::AdmissionDecision decideAdmission(
-    Node& node, const Exchange& exchange, Utils::Duration expected, Utils::Instant at)
+Balancing::AdmissionDecision decideAdmission(Node& node, const Exchange& exchange,
+    const Balancing::Placement& placement, unsigned slots, Utils::Instant at)
 {
     Balancing::AdmissionContext context;
-    context.expectedLatency = expected;
+    context.expectedLatency = placement.expectedLatency;
+    // A key has a single holder, whose slots other requests for its keys fill.
+    context.mustYield = !exchange.service->keyed
+        && Balancing::mustYield(node.traffic.serviceStats[exchange.service->id], exchange.route->priority,
+            placement.load, slots, at);
     context.unloadedLatency = baselineLatencyFor(node, exchange);
     context.timeToTarget = exchange.targetAt - at;
     context.timeLeft = exchange.deadlineAt - at;
@@ -204,9 +214,11 @@
     }
     if (exchange->attemptCount == 0) {
         const Balancing::AdmissionDecision decision
-            = decideAdmission(node, *exchange, placement->expectedLatency, at);
+            = decideAdmission(node, *exchange, *placement, candidates[placement->index].slots, at);
         if (!decision.admitted) {
-            respondLocally(node, exchange, LocalResponseReason::Overload, decision.retryAfter);
+            respondLocally(node, exchange,
+                decision.yielded ? LocalResponseReason::YieldedToUrgent : LocalResponseReason::Overload,
+                decision.retryAfter);
             return;
         }
     }
--- a/src/libs/edge/localresponsereason.h
+++ b/src/libs/edge/localresponsereason.h
@@ -24,6 +24,8 @@
     KeyWithoutHolder,
     /// Admission control: the response is not expected in time.
     Overload,
+    /// Admission control: a more urgent request would not find a free slot.
+    YieldedToUrgent,
     /// All upstreams for the request name a limit, and it is used up.
     LimitReached,
     /// Upstreams rejected the request, and no time, retry budget or other upstream is left for a retry.
@@ -38,7 +40,7 @@
     Stopping,
 };
 
-inline constexpr std::array<Utils::EnumName<LocalResponseReason>, 16> localResponseReasonNames { {
+inline constexpr std::array<Utils::EnumName<LocalResponseReason>, 17> localResponseReasonNames { {
     { LocalResponseReason::NoConfiguration, "no_configuration" },
     { LocalResponseReason::NoRoute, "no_route" },
     { LocalResponseReason::BadRequest, "bad_request" },
@@ -49,6 +51,7 @@
     { LocalResponseReason::Unreachable, "upstreams_unreachable" },
     { LocalResponseReason::KeyWithoutHolder, "key_without_holder" },
     { LocalResponseReason::Overload, "overload" },
+    { LocalResponseReason::YieldedToUrgent, "yielded_to_urgent" },
     { LocalResponseReason::LimitReached, "limit_reached" },
     { LocalResponseReason::RejectedByUpstreams, "upstreams_refused" },
     { LocalResponseReason::UpstreamFailed, "upstream_failed" },
