Take grants that were given up for delayed while many holders give no response

The leader counted a lease from the end of a call, as the reset of the connection would keep it from arriving; but on a full link the reset waits behind the call, which arrives seconds later.

Now leases count 2 s more while more holders than one zone has leave calls without a response, and for 10 s after. A grant for which no connection was established has not been sent and extends no lease. The test fails without the change: keys are granted 2 s too early.

--- a/src/libs/edge/grantcalls.cpp
+++ b/src/libs/edge/grantcalls.cpp
@@ -26,6 +26,8 @@
     constexpr unsigned statusOk = 200;
     if (response.outcome == CallOutcome::ConnectionRefused)
         return GrantOutcome::ConnectionRefused;
+    if (response.outcome == CallOutcome::NotConnected)
+        return GrantOutcome::NotSent;
     if (response.outcome != CallOutcome::Responded)
         return GrantOutcome::Unknown;
     if (response.status == statusOk)
--- a/src/libs/granting/granter.cpp
+++ b/src/libs/granting/granter.cpp
@@ -33,7 +33,7 @@
         if (holder.span == span && holder.grantedSpan == span && holder.upstream == upstream)
             return holder;
     }
-    granter.possibleHolders.push_back({ span, span, upstream, 0, {}, {} });
+    granter.possibleHolders.push_back({ span, span, upstream, 0, {}, {}, {} });
     return granter.possibleHolders.back();
 }
 
@@ -42,6 +42,13 @@
     return std::max(holder.leaseExpiry, holder.pendingLeaseExpiry);
 }
 
+/// Whether the lease of \a holder has expired, however late its grants may have arrived.
+bool hasExpired(const Granter& granter, const PossibleHolder& holder, Utils::Instant now)
+{
+    const bool areCallsDelayed = now < granter.delayedCallsUntil;
+    return holder.leaseExpiry <= now && (!areCallsDelayed || holder.delayedLeaseExpiry <= now);
+}
+
 bool isGrantInFlight(const PossibleHolder& holder) { return holder.pendingLeaseExpiry != Utils::Instant {}; }
 
 PossibleHolder withSpan(PossibleHolder holder, std::uint16_t first, std::uint16_t last)
@@ -214,8 +221,8 @@
 }
 
 /// Updates the lease expiry after the outcome of a grant. The call has ended, so that the grant arrived
-/// before now or never: a slow VM sends it and notices its timeout late. One whose connection was refused did
-/// not arrive.
+/// before now, but on a saturated link: a slow VM sends it and notices its timeout late. One that was not
+/// sent did not arrive.
 void updatePossibleHolder(
     Granter& granter, const GrantAction& action, GrantOutcome outcome, Utils::Instant now)
 {
@@ -226,8 +233,10 @@
         const Utils::Instant end = latestLeaseExpiry(action.keyLease, now);
         if (outcome == GrantOutcome::Accepted)
             holder.leaseExpiry = std::max(holder.leaseExpiry, end);
-        else if (outcome != GrantOutcome::ConnectionRefused)
+        else if (outcome != GrantOutcome::ConnectionRefused && outcome != GrantOutcome::NotSent)
             holder.leaseExpiry = std::max({ holder.leaseExpiry, holder.pendingLeaseExpiry, end });
+        if (outcome == GrantOutcome::Unknown)
+            holder.delayedLeaseExpiry = std::max(holder.delayedLeaseExpiry, end + maxTransitDelay);
         holder.pendingLeaseExpiry = {};
     }
 }
@@ -270,6 +279,13 @@
     return std::max<std::size_t>(holders.size() / correlatedFailureDivisor, 1);
 }
 
+/// Notices that calls are delayed: holders of all zones but one don't fail together.
+void noticeDelayedCalls(Granter& granter, Utils::Instant now)
+{
+    if (granter.unresponsiveSince.size() > maxUncorrelatedUnresponsive(granter))
+        granter.delayedCallsUntil = now + delayedCallsPeriod;
+}
+
 } // namespace Internal
 
 Utils::Instant latestFormerLeaseExpiry(Utils::Duration maxKeyLease, Utils::Instant now)
@@ -326,8 +342,8 @@
 std::vector<GrantAction> collectDueActions(Granter& granter, Utils::Duration keyLease, Utils::Instant now)
 {
     // A grant in flight may be late, and its lease counts from its arrival.
-    std::erase_if(granter.possibleHolders, [now](const PossibleHolder& holder) {
-        return !Internal::isGrantInFlight(holder) && holder.leaseExpiry <= now;
+    std::erase_if(granter.possibleHolders, [&granter, now](const PossibleHolder& holder) {
+        return !Internal::isGrantInFlight(holder) && Internal::hasExpired(granter, holder, now);
     });
     std::vector<GrantAction> actions;
     for (Segment& segment : granter.assignment.segments) {
@@ -356,8 +372,8 @@
         sent.isAwaitingResponse = false;
     if (outcome == GrantOutcome::Accepted || outcome == GrantOutcome::FencedOff)
         granter.unresponsiveSince.erase(action.upstream);
-    else
-        granter.unresponsiveSince.try_emplace(action.upstream, now);
+    else if (granter.unresponsiveSince.try_emplace(action.upstream, now).second)
+        Internal::noticeDelayedCalls(granter, now);
     if (action.kind == GrantAction::Kind::Grant)
         Internal::updatePossibleHolder(granter, action, outcome, now);
     if (action.kind == GrantAction::Kind::Release) {
--- a/src/libs/granting/granter.h
+++ b/src/libs/granting/granter.h
@@ -33,6 +33,8 @@
     std::map<Utils::UpstreamId, Utils::Instant> unresponsiveSince;
     /// Upstreams whose process has terminated.
     std::set<Utils::UpstreamId> terminatedUpstreams;
+    /// Calls without a response are assumed until then to arrive late rather than never.
+    Utils::Instant delayedCallsUntil {};
 };
 
 /// Returns the initial state of a new leader. Every upstream named in \a assignment may have been granted
--- a/src/libs/granting/grantingconstants.h
+++ b/src/libs/granting/grantingconstants.h
@@ -29,6 +29,12 @@
 inline constexpr Utils::Duration keyLeaseRenewalInterval = std::chrono::milliseconds(1200);
 /// A grant without a response by then is aborted in transit: it arrives before this timeout or never.
 inline constexpr Utils::Duration grantTimeout = std::chrono::milliseconds(500);
+/// A call that was given up may arrive this much later while a link on its way is saturated: the reset of the
+/// connection waits behind it.
+inline constexpr Utils::Duration maxTransitDelay = std::chrono::milliseconds(2000);
+/// Time for which calls are assumed to be delayed after many holders have left some without a response; the
+/// longest key lease.
+inline constexpr Utils::Duration delayedCallsPeriod = std::chrono::seconds(10);
 /// How long an unresponsive upstream gets no keys. A terminated one disappears from the store's list earlier.
 inline constexpr Utils::Duration unresponsiveUpstreamRetention = std::chrono::seconds(5);
 /// Interval between retries of a grant or release that got no response.
--- a/src/libs/granting/possibleholder.h
+++ b/src/libs/granting/possibleholder.h
@@ -21,6 +21,8 @@
     /// The same for a grant in flight that arrives within its timeout; empty if there is none. A slow VM may
     /// send it later.
     Utils::Instant pendingLeaseExpiry {};
+    /// When its key lease expires at the latest if grants without a response arrive after their calls ended.
+    Utils::Instant delayedLeaseExpiry {};
 };
 
 } // namespace Granting
--- a/tests/auto/granting/tst_lategrant.cpp
+++ b/tests/auto/granting/tst_lategrant.cpp
@@ -106,3 +106,61 @@
         });
     CHECK_FALSE(isInFlight);
 }
+
+TEST_CASE("Grants that were given up may still arrive while many holders leave calls without a response",
+    "[lategrant]")
+{
+    // Guards against two holders of a key: a link between regions was saturated, grants arrived seconds after
+    // the leader had given them up, and it granted their keys to others when their leases should have
+    // expired.
+    struct Row {
+        const char* name;
+        std::size_t unresponsive;
+        GrantOutcome outcome;
+        bool isLeaseExtended;
+        Utils::Duration transit;
+    };
+    const Row row = GENERATE(values<Row>({
+        { "one of eight gives no response", 1, GrantOutcome::Unknown, true, 0ms },
+        { "half of them give no response", 4, GrantOutcome::Unknown, true, maxTransitDelay },
+        { "no connection to one of eight", 1, GrantOutcome::NotSent, false, 0ms },
+        { "no connection to half of them", 4, GrantOutcome::NotSent, false, 0ms },
+    }));
+    INFO(row.name);
+    constexpr std::size_t holderCount = 8;
+    constexpr std::size_t keysOfHolder = 65536 / holderCount;
+    std::vector<KeyPlacement> placements;
+    for (std::size_t index = 0; index < holderCount; ++index)
+        placements.push_back({ { static_cast<std::uint16_t>(index * keysOfHolder),
+                                   static_cast<std::uint16_t>((index + 1) * keysOfHolder - 1) },
+            { "u" + std::to_string(index) } });
+    Granter granter;
+    granter.assignment.service = { "s" };
+    granter.assignment.term = 5;
+    applyWrittenRecord(granter, makeNextRecord(granter, placements));
+    for (const GrantAction& action : collectDueActions(granter, keyLeaseDuration, start))
+        recordGrantOutcome(granter, action, GrantOutcome::Accepted, "", start);
+    const Utils::Instant renewed = start + keyLeaseRenewalInterval;
+    const Utils::Instant ended = renewed + grantTimeout;
+    for (const GrantAction& action : collectDueActions(granter, keyLeaseDuration, renewed)) {
+        const bool isUnresponsive = action.span.first < row.unresponsive * keysOfHolder;
+        recordGrantOutcome(granter, action, isUnresponsive ? row.outcome : GrantOutcome::Accepted, "", ended);
+    }
+    // The keys of the first holder move to the last one.
+    placements.front().holder = placements.back().holder;
+    applyWrittenRecord(granter, makeNextRecord(granter, placements));
+    const auto isGranted = [&granter](Utils::Instant at) {
+        bool granted = false;
+        for (const GrantAction& action : collectDueActions(granter, keyLeaseDuration, at)) {
+            const bool isFirst = action.span.first == 0;
+            granted = granted || (isFirst && action.kind == GrantAction::Kind::Grant);
+            recordGrantOutcome(
+                granter, action, isFirst ? GrantOutcome::Unknown : GrantOutcome::Accepted, "", at);
+        }
+        return granted;
+    };
+    const Utils::Duration lease = keyLeaseDuration + keyLeaseDuration / 50 + expiryMargin;
+    const Utils::Instant expiry = (row.isLeaseExtended ? ended : start) + lease + row.transit;
+    CHECK_FALSE(isGranted(expiry - 1ms));
+    CHECK(isGranted(expiry + grantRetryInterval));
+}
