Let subscribers stay with a leader that misses one read

Cause, from the same logs: at 1.71 s the leader's read of the store was over 1,150 ms old for 0.5 s (the store dropped its history), it said so to all, and all 294 subscribers left it at once. Each then read the store or looked for a source, and subscribed again with a complete first update; the link between regions and the leader's own link filled, frames came late, subscribers left again as silent (60 to 80 every half second until the end of the log), and keyed requests went to former holders (2,400 of 3,000 rejections in half a second).

Now a subscriber waits for a part, different for each, of the time that the bounds of apply and drain leave beyond the 2.5 s that leaving and reading take: nothing at 2.5 s, 0.25 to 0.5 s at 3 s, 0.75 to 1.5 s at 4 s. A source counts as silent later by half of that time.

--- a/src/libs/edge/relaystate.h
+++ b/src/libs/edge/relaystate.h
@@ -24,6 +24,7 @@
         : acceptor(context)
         , timer(context)
         , storeReadTimer(context)
+        , staleSourceTimer(context)
     {
     }
 
@@ -67,6 +68,10 @@
     boost::asio::steady_timer timer;
     /// Runs until the store is read unless a source is found before.
     GuardedTimer storeReadTimer;
+    /// Id of the link to a source that is not fresh and is left when staleSourceTimer expires; 0 if there is
+    /// none.
+    std::uint64_t staleSourceId = 0;
+    GuardedTimer staleSourceTimer;
 };
 
 } // namespace Edge
--- a/src/libs/edge/relaysubscriber.cpp
+++ b/src/libs/edge/relaysubscriber.cpp
@@ -11,6 +11,7 @@
 #include <platform/storecalls.h>
 #include <platform/storeposition.h>
 #include <relay/framecodec.h>
+#include <relay/patience.h>
 #include <utils/hash.h>
 
 #include <boost/leaf.hpp>
@@ -26,12 +27,13 @@
 using ErrorCode = boost::system::error_code;
 using Relay::RelayTopic;
 
-/// A source that sends nothing for longer is considered unreachable. Two of its heartbeats may be late, and a
-/// change still takes effect within the limits of the platform after the source search that follows.
-constexpr Utils::Duration sourceTimeout = std::chrono::milliseconds(1000);
+/// A source that sends nothing for longer is considered unreachable, where changes must be in force soon. Two
+/// of its heartbeats may be late, and a change still takes effect within the limits of the platform after the
+/// source search that follows.
+constexpr Utils::Duration minSourceTimeout = std::chrono::milliseconds(1000);
 
 /// A VM with a remote store looks for another source for this long before it reads the store. Together with
-/// sourceTimeout, this is part of the time until a change takes effect.
+/// minSourceTimeout, this is part of the time until a change takes effect.
 constexpr Utils::Duration sourceSearchTimeout = std::chrono::milliseconds(600);
 
 /// The same at the start; a restarted leader can be reached within a tenth of a second. The jitter keeps VMs
@@ -104,6 +106,13 @@
     return isLarge && node.minStoreLatency > maxLocalStoreLatency;
 }
 
+/// Time within which a change has to reach all VMs.
+Utils::Duration changeTimeout(const Node& node)
+{
+    const Routing::OperatingLimits& limits = node.settings.operatingLimits;
+    return std::min(limits.configurationApplyTimeout, limits.drainTimeout);
+}
+
 bool isStoreRemote(const Node& node) { return node.minStoreLatency > maxLocalStoreLatency; }
 
 /// Whether this VM has no source and the store does not respond either.
@@ -215,6 +224,29 @@
     node.clusterView.directoryLoaded = true;
 }
 
+void leaveStaleSource(Node& node, const LinkPtr& link)
+{
+    node.relay.staleSourceId = 0;
+    fallBackToStore(node);
+    if (shouldSeekSource(node) && !isDisconnectedFromLeaderAndStore(node))
+        closeLink(node, link, "not_fresh");
+}
+
+/// Leaves a source unless it becomes fresh again meanwhile.
+void scheduleLeavingStaleSource(Node& node, const LinkPtr& link)
+{
+    const Utils::Duration patience = Relay::staleSourcePatience(
+        changeTimeout(node), Utils::stableHash(node.settings.name.value, node.incarnation));
+    if (patience <= Utils::Duration::zero()) {
+        leaveStaleSource(node, link);
+        return;
+    }
+    startTimer(node.relay.staleSourceTimer, patience, [&node, link] {
+        if (isOpen(node, *link) && node.relay.staleSourceId == link->id)
+            leaveStaleSource(node, link);
+    });
+}
+
 void handleUpdate(Node& node, const LinkPtr& link, const Relay::Update& update)
 {
     node.relay.lastReceivedAt = now();
@@ -253,13 +285,16 @@
         return;
     }
     recordSourceProgress(node, *link, update);
-    if (update.isFresh && node.clusterView.routeTable && node.clusterView.directoryLoaded)
-        switchToSource(node, *link);
-    if (update.isFresh)
+    if (update.isFresh) {
+        node.relay.staleSourceId = 0;
+        if (node.clusterView.routeTable && node.clusterView.directoryLoaded)
+            switchToSource(node, *link);
         return;
-    fallBackToStore(node);
-    if (shouldSeekSource(node) && !isDisconnectedFromLeaderAndStore(node))
-        closeLink(node, link, "not_fresh");
+    }
+    if (!node.relay.isSubscribed)
+        leaveStaleSource(node, link);
+    else if (std::exchange(node.relay.staleSourceId, link->id) != link->id)
+        scheduleLeavingStaleSource(node, link);
 }
 
 void subscribe(Node& node, const LinkPtr& link)
@@ -325,7 +360,8 @@
         closeLink(node, LinkPtr(relay.sourceLink), "superseded");
         return;
     }
-    if (relay.sourceLink && at - relay.lastReceivedAt > sourceTimeout) {
+    if (relay.sourceLink
+        && at - relay.lastReceivedAt > Relay::silentSourceTimeout(changeTimeout(node), minSourceTimeout)) {
         closeLink(node, LinkPtr(relay.sourceLink), "silent");
         return;
     }
