--- a/src/libs/edge/service.cpp
+++ b/src/libs/edge/service.cpp
@@ -174,8 +174,7 @@
     }
     if (elapsed >= abortAfter + abortFlushTime || (node.closing && node.traffic.callerConnections.empty())) {
         Logging::write(Logging::Level::Info, "stopped",
-            { { "after_ms", Utils::toMilliseconds(elapsed) },
-                { "callers", node.traffic.callerConnections.size() } });
+            { { "after_ms", Utils::toMilliseconds(elapsed) }, { "cut", node.traffic.exchanges.size() } });
         node.context.stop();
         return;
     }
--- a/tests/auto/edge/tst_relay.cpp
+++ b/tests/auto/edge/tst_relay.cpp
@@ -128,6 +128,47 @@
         [&] { return environment.vms[1]->node.clusterView.routeTable->configuration.version == 2; }, 2200ms));
 }
 
+TEST_CASE("Subscribers stay with a leader that misses one read where changes may take longer", "[relay]")
+{
+    // Guards against a fleet that reads the store and subscribes again all at once, which fills the links of
+    // the leader for longer than the read was late.
+    struct Row {
+        Utils::Duration changeTimeout;
+        bool staysSubscribed;
+    };
+    const Row row = GENERATE(values<Row>({ { 2500ms, false }, { 4000ms, true } }));
+    INFO(Utils::toMilliseconds(row.changeTimeout));
+    TestEnvironment environment;
+    addUpstream(environment, "i-1", "plain");
+    startThreeVms(environment);
+    for (const std::unique_ptr<Edge::Service>& vm : environment.vms) {
+        vm->node.settings.operatingLimits.configurationApplyTimeout = row.changeTimeout;
+        vm->node.settings.operatingLimits.drainTimeout = row.changeTimeout;
+    }
+    runFor(environment, 500ms);
+    Edge::Node& leader = environment.vms[0]->node;
+    bool staysSubscribed = true;
+    for (int step = 0; step < 50; ++step) {
+        leader.topicFollowers.reports.consecutiveFailures = 1;
+        runFor(environment, 10ms);
+        staysSubscribed = staysSubscribed && environment.vms[1]->node.relay.isSubscribed
+            && environment.vms[2]->node.relay.isSubscribed;
+    }
+    leader.topicFollowers.reports.consecutiveFailures = 0;
+    CHECK(staysSubscribed == row.staysSubscribed);
+    CHECK(runUntil(environment, [&environment] {
+        return environment.vms[1]->node.relay.isSubscribed && environment.vms[2]->node.relay.isSubscribed;
+    }));
+    // A leader that stays late is left.
+    CHECK(runUntil(
+        environment,
+        [&] {
+            leader.topicFollowers.reports.consecutiveFailures = 1;
+            return !environment.vms[1]->node.relay.isSubscribed;
+        },
+        2000ms));
+}
+
 TEST_CASE(
     "Subscribed VMs apply a configuration soon after an outage with half-open store connections", "[relay]")
 {
@@ -260,6 +301,60 @@
     CHECK(subscriber.topicFollowers.reports.nextOffset == before);
 }
 
+TEST_CASE("A VM that starts again uses neither an upstream nor an assignment that is gone", "[relay]")
+{
+    struct Row {
+        const char* name;
+        bool storeIsRemote;
+        bool leaderIsLost;
+    };
+    const Row row = GENERATE(values<Row>({
+        { "from the store", false, false },
+        { "from the leader", true, false },
+        { "from the store, without a leader", false, true },
+        { "from a fallback source", true, true },
+    }));
+    INFO(row.name);
+    TestEnvironment environment;
+    TestUpstream& former = addUpstream(environment, "k-1", "keyed", true);
+    addUpstream(environment, "k-2", "keyed", true);
+    startThreeVms(environment);
+    const Utils::ServiceId keyed { "keyed" };
+    const auto isAnyKeyOf = [&keyed](const Edge::Service& vm, const char* upstream) {
+        const auto found = vm.node.clusterView.assignments.find(keyed);
+        return found != vm.node.clusterView.assignments.end()
+            && std::any_of(found->second.segments.begin(), found->second.segments.end(),
+                [upstream](const Granting::Segment& segment) { return segment.holder.value == upstream; });
+    };
+    REQUIRE(runUntil(environment, [&] { return isAnyKeyOf(*environment.vms[2], "k-1"); }));
+    StandInSupport::crash(former.httpServer);
+    removeUpstreamEntry(environment, former);
+    REQUIRE(runUntil(
+        environment,
+        [&] {
+            return std::none_of(environment.vms.begin(), environment.vms.end(),
+                [&](const std::unique_ptr<Edge::Service>& vm) { return isAnyKeyOf(*vm, "k-1"); });
+        },
+        9000ms));
+    if (row.leaderIsLost)
+        killVm(environment, 0);
+    Edge::Service& started = startVm(environment, row.storeIsRemote);
+    const auto usesFormer = [&] {
+        const Routing::DirectoryEntry* const entry
+            = Routing::findUsable(started.node.clusterView.directory, { "k-1" });
+        return started.node.clusterView.directoryLoaded && (entry || isAnyKeyOf(started, "k-1"));
+    };
+    bool hasUsedFormer = false;
+    CHECK(runUntil(
+        environment,
+        [&] {
+            hasUsedFormer = hasUsedFormer || usesFormer();
+            return started.node.clusterView.directoryLoaded && isAnyKeyOf(started, "k-2");
+        },
+        8000ms));
+    CHECK_FALSE(hasUsedFormer);
+}
+
 TEST_CASE("The known number of VMs does not fall when the leader changes", "[relay]")
 {
     // Guards against VMs that each take a larger share of a limit of the whole system.
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,3 +1,4 @@
+#include <soak/aheadcallers.h>
 #include <soak/callers.h>
 #include <soak/limits.h>
 #include <soak/partitions.h>
@@ -13,56 +14,15 @@
 
 namespace {
 
-constexpr std::uint16_t callersPort = 18641;
 constexpr std::uint16_t readinessPort = 18640;
 constexpr std::size_t keyCount = 65536;
 constexpr unsigned callerDeadlineMs = 2000;
-constexpr std::chrono::milliseconds callTimeout = 2500ms;
-
-Platform::HttpRequest makeRequest(const RequestRecord& record, std::size_t key)
-{
-    const bool isPost = record.kind == RequestKind::Unsafe || record.kind == RequestKind::Poison;
-    Platform::HttpRequest request(isPost ? http::verb::post : http::verb::get, record.path, 11);
-    request.set(http::field::host, "a.example");
-    request.set("X-Request-Id", record.id);
-    request.set("X-Deadline-Ms", std::to_string(callerDeadlineMs));
-    if (record.kind == RequestKind::Keyed)
-        request.set("X-Shard-Key", std::to_string(key));
-    request.body() = record.body;
-    request.prepare_payload();
-    return request;
-}
-
-void recordResponse(World& world, RequestRecord& record, const Edge::CallResponse& response)
-{
-    record.ended = true;
-    record.vmDisturbed = world.vms[record.vm]->disturbedAt >= record.sentAt;
-    record.endedAt = std::chrono::steady_clock::now();
-    record.outcome = response.outcome;
-    record.status = response.status;
-    record.responseBody = response.body;
-    if (response.fields.count("Server-Limit") > 0)
-        recordToldVm(world, response.body.substr(0, response.body.find(' ')), *world.vms[record.vm]);
-    record.stamped = response.fields.count("X-Server-Stamp") > 0;
-}
 
 void send(World& world, std::size_t vm, RequestKind kind, const std::string& content)
 {
-    const std::size_t index = world.requests.size();
-    RequestRecord record;
-    record.id = "q" + std::to_string(index + 1);
-    record.kind = kind;
-    record.path = std::string(Utils::enumName(requestKindNames, kind)) + content;
-    if (kind == RequestKind::Unsafe || kind == RequestKind::Poison)
-        record.body = "order " + content;
-    record.vm = vm;
-    record.vmPid = world.vms[vm]->pid;
-    record.sentAt = std::chrono::steady_clock::now();
-    notePhase(world, record);
-    Platform::HttpRequest request = makeRequest(record, drawNumber(world, 0, keyCount - 1));
-    world.requestIndex[record.id] = index;
-    world.requests.push_back(std::move(record));
-    Edge::startCall(world.calls, { world.vms[vm]->address, callersPort }, std::move(request), callTimeout,
+    const std::size_t index = addRequest(world, vm, kind, content);
+    Edge::startCall(world.calls, { world.vms[vm]->address, callersPort },
+        makeRequest(world, world.requests[index]), callTimeout,
         [&world, index](
             const Edge::CallResponse& response) { recordResponse(world, world.requests[index], response); });
 }
@@ -90,7 +50,12 @@
     const bool isPopular = kind == RequestKind::Safe && drawNumber(world, 0, 1) == 0;
     const std::string content = isPopular ? "popular" + std::to_string(drawNumber(world, 1, popularPaths))
                                           : std::to_string(world.requests.size());
-    send(world, drawVm(world), kind, content);
+    constexpr std::size_t maxAhead = 6;
+    // Some callers send several requests before the first response.
+    if (kind == RequestKind::Safe && !isPopular)
+        sendAhead(world, drawVm(world), drawNumber(world, 1, maxAhead));
+    else
+        send(world, drawVm(world), kind, content);
     after(world, std::chrono::milliseconds(1000 / world.options.requestsPerSecond),
         [&world] { sendNext(world); });
 }
@@ -151,6 +116,52 @@
 
 } // namespace
 
+std::size_t addRequest(World& world, std::size_t vm, RequestKind kind, const std::string& content)
+{
+    const std::size_t index = world.requests.size();
+    RequestRecord record;
+    record.id = "q" + std::to_string(index + 1);
+    record.kind = kind;
+    record.path = std::string(Utils::enumName(requestKindNames, kind)) + content;
+    if (kind == RequestKind::Unsafe || kind == RequestKind::Poison)
+        record.body = "order " + content;
+    record.vm = vm;
+    record.vmPid = world.vms[vm]->pid;
+    record.sentAt = std::chrono::steady_clock::now();
+    notePhase(world, record);
+    world.requestIndex[record.id] = index;
+    world.requests.push_back(std::move(record));
+    return index;
+}
+
+Platform::HttpRequest makeRequest(World& world, const RequestRecord& record)
+{
+    const bool isPost = record.kind == RequestKind::Unsafe || record.kind == RequestKind::Poison;
+    Platform::HttpRequest request(isPost ? http::verb::post : http::verb::get, record.path, 11);
+    request.set(http::field::host, "a.example");
+    request.set("X-Request-Id", record.id);
+    request.set("X-Deadline-Ms", std::to_string(callerDeadlineMs));
+    const std::size_t key = drawNumber(world, 0, keyCount - 1);
+    if (record.kind == RequestKind::Keyed)
+        request.set("X-Shard-Key", std::to_string(key));
+    request.body() = record.body;
+    request.prepare_payload();
+    return request;
+}
+
+void recordResponse(World& world, RequestRecord& record, const Edge::CallResponse& response)
+{
+    record.ended = true;
+    record.vmDisturbed = world.vms[record.vm]->disturbedAt >= record.sentAt;
+    record.endedAt = std::chrono::steady_clock::now();
+    record.outcome = response.outcome;
+    record.status = response.status;
+    record.responseBody = response.body;
+    if (response.fields.count("Server-Limit") > 0)
+        recordToldVm(world, response.body.substr(0, response.body.find(' ')), *world.vms[record.vm]);
+    record.stamped = response.fields.count("X-Server-Stamp") > 0;
+}
+
 void startLoadBalancer(World& world) { checkVms(world, 0); }
 
 void startTraffic(World& world) { sendNext(world); }
