--- a/src/libs/balancing/yielding.h
+++ b/src/libs/balancing/yielding.h
@@ -12,8 +12,9 @@
 ///
 /// Load pattern: a burst of long requests with a distant target fills all slots of a service, and a queue
 /// that is short enough for them is too long for urgent requests. While urgent ones have been rejected
-/// recently, others keep one slot of each upstream free. \param load estimated number of requests at the
-/// upstream, which has \a slots.
+/// recently, others keep one slot of each upstream free.
+///
+/// \param load estimated number of requests at the upstream, which has \a slots.
 bool mustYield(const ServiceStats& stats, unsigned priority, double load, unsigned slots, Utils::Instant now);
 
 } // namespace Balancing
--- a/tests/auto/edge/tst_requestsahead.cpp
+++ b/tests/auto/edge/tst_requestsahead.cpp
@@ -241,6 +241,7 @@
         REQUIRE(runUntil(environment, [&caller] { return caller.closed; }));
         const std::vector<RawResponse> responses = responsesOf(caller);
         std::vector<unsigned> statuses;
+        statuses.reserve(responses.size());
         for (const RawResponse& response : responses)
             statuses.push_back(response.status);
         CHECK(statuses == row.statuses);
