Let a forwarded request go on while no other VM may be given it

Now the call lasts until the deadline, and a timer of its own gives it up only if the request may go to another VM then.

The test fails without the condition (502 before the upstream has answered), and passes with it.

--- a/src/libs/edge/exchange.h
+++ b/src/libs/edge/exchange.h
@@ -21,6 +21,7 @@
     explicit Exchange(boost::asio::io_context& context)
         : deadlineTimer(context)
         , holderWaitTimer(context)
+        , forwardTimer(context)
     {
     }
 
@@ -71,6 +72,8 @@
     Utils::Instant waitingForHolderSince {};
     GuardedTimer deadlineTimer;
     GuardedTimer holderWaitTimer;
+    /// Expires when the request may be given to a third VM.
+    GuardedTimer forwardTimer;
 };
 
 } // namespace Edge
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -50,6 +50,7 @@
 {
     cancelTimer(exchange->deadlineTimer);
     cancelTimer(exchange->holderWaitTimer);
+    cancelTimer(exchange->forwardTimer);
     node.traffic.bufferedBodyBytes
         -= std::min<std::uint64_t>(node.traffic.bufferedBodyBytes, exchange->request.body().size());
     node.traffic.exchanges.erase(exchange->id);
@@ -411,8 +412,9 @@
     if (found == node.traffic.exchanges.end())
         return false;
     const Exchange& exchange = *found->second;
-    const Balancing::AttemptContext context
+    Balancing::AttemptContext context
         = Internal::makeAttemptContext(node, exchange, Balancing::AttemptOutcome::TimedOut);
+    context.attemptCount += exchange.peerCallId != 0 ? exchange.forwardedAttempts : 0;
     return Balancing::decideNext(context) == Balancing::NextStep::Retry
         && Balancing::hasRetryAllowance(
             node.traffic.retryBudgets[exchange.service->id], Internal::retryAllowanceFor(node), now());
--- a/src/libs/edge/exchanges.h
+++ b/src/libs/edge/exchanges.h
@@ -29,8 +29,8 @@
 void handleForwardingOutcome(
     Node& node, std::uint64_t exchangeId, ForwardingOutcome outcome, std::optional<HttpResponse> response);
 
-/// Whether the request would be retried if its attempt ended as timed out now. If not, its upstream may as
-/// well go on until the deadline.
+/// Whether the request would be retried if its attempt, or its forwarding to another VM, ended as timed out
+/// now. If not, its upstream may as well go on until the deadline.
 bool isRetriedAfterTimeout(Node& node, std::uint64_t id);
 
 /// Cancels an exchange whose caller has disconnected, with any attempt in flight.
--- a/src/libs/edge/peerforwarding.cpp
+++ b/src/libs/edge/peerforwarding.cpp
@@ -109,6 +109,20 @@
         isAnswer ? std::optional<HttpResponse>(toHttpResponse(std::move(response))) : std::nullopt);
 }
 
+/// Gives up the forwarding after \a timeout if the request may go to another VM then; else the first one may
+/// as well go on.
+void armForwardTimer(Node& node, const std::shared_ptr<Exchange>& exchange, Utils::Duration timeout)
+{
+    const std::uint64_t callId = exchange->peerCallId;
+    startTimer(exchange->forwardTimer, timeout, [&node, exchange, callId] {
+        if (exchange->peerCallId != callId || !isRetriedAfterTimeout(node, exchange->id))
+            return;
+        abandonForwarding(node, *exchange);
+        node.counters.forwardings.add(ForwardingOutcome::Unknown);
+        handleForwardingOutcome(node, exchange->id, ForwardingOutcome::Unknown, std::nullopt);
+    });
+}
+
 } // namespace Internal
 
 std::uint16_t forwardingPort(const Routing::VmSettings& settings)
@@ -139,11 +153,11 @@
     // A request that may have reached the other VM is never sent again by the call itself.
     exchange->peerCallId = startCall(
         node.calls, { *address, forwardingPort(node.settings) },
-        Internal::makeForwardedRequest(*exchange, timeLeft),
-        Internal::forwardTimeoutFor(node, *exchange, timeLeft),
+        Internal::makeForwardedRequest(*exchange, timeLeft), timeLeft,
         [&node, id = exchange->id, address = *address](
             CallResponse response) { Internal::handlePeerResponse(node, id, address, std::move(response)); },
         Internal::maxForwardedResponseBytes, CallRepetition::Never);
+    Internal::armForwardTimer(node, exchange, Internal::forwardTimeoutFor(node, *exchange, timeLeft));
     return true;
 }
 
--- a/tests/auto/edge/tst_peerforwarding.cpp
+++ b/tests/auto/edge/tst_peerforwarding.cpp
@@ -184,6 +184,31 @@
     CHECK(countRuns(fleet.environment) - runsBefore <= row.maxRuns);
 }
 
+TEST_CASE("A forwarded request goes on while no other VM may be given it", "[peerforwarding]")
+{
+    // Guards against a request that is given up, at which an upstream works, because a second VM could have
+    // been asked if the retry budget permitted it.
+    const bool hasBudget = GENERATE(false, true);
+    INFO((hasBudget ? "with a retry budget" : "without a retry budget"));
+    Fleet fleet;
+    cut(fleet.vm(1));
+    REQUIRE(waitUntilReachIsLost(fleet.environment, fleet.vm(1)));
+    // A VM that has just started has no share of the slack.
+    for (const std::unique_ptr<Edge::Service>& vm : fleet.environment.vms) {
+        vm->node.traffic.retryBudgets.clear();
+        if (!hasBudget)
+            vm->node.startedAt = Edge::now();
+    }
+    for (const std::unique_ptr<TestUpstream>& upstream : fleet.environment.upstreams)
+        upstream->standIn.work = 1000ms;
+    const std::size_t runsBefore = countRuns(fleet.environment);
+    const CallerResponse response = sendRequest(fleet.environment, fleet.vm(1), makeRequest("safe"));
+    CHECK((hasBudget || response.status == 200));
+    CHECK((hasBudget || response.elapsed >= 900ms));
+    CHECK((hasBudget ? countRuns(fleet.environment) - runsBefore > 1
+                     : countRuns(fleet.environment) - runsBefore == 1));
+}
+
 TEST_CASE(
     "Without a cut no request is forwarded and no VM connects to another one for it", "[peerforwarding]")
 {
