Show that a fallback source relays a former assignment

A VM that starts from it gets the last complete assignment, by which a withdrawn key is still that of its former holder. The failing row needed a start between the loss of the leader and the first write of the next one; the new test forces the order.

Ruled out: the removal of the upstream's entry, which is relayed (the row checks it too).

--- a/tests/auto/edge/tst_relay.cpp
+++ b/tests/auto/edge/tst_relay.cpp
@@ -27,6 +27,15 @@
         environment, [&] { return second.node.relay.isSubscribed && third.node.relay.isSubscribed; }));
 }
 
+/// Whether \a upstream holds a key of the keyed service by the assignment that \a vm has.
+bool holdsAnyKey(const Edge::Service& vm, const char* upstream)
+{
+    const auto found = vm.node.clusterView.assignments.find({ "keyed" });
+    return found != vm.node.clusterView.assignments.end()
+        && std::any_of(found->second.segments.begin(), found->second.segments.end(),
+            [upstream](const Granting::Segment& segment) { return segment.holder.value == upstream; });
+}
+
 } // namespace
 
 TEST_CASE("Subscribers stop reading the store while the leader relays new records", "[relay]")
@@ -319,21 +328,14 @@
     TestUpstream& former = addUpstream(environment, "k-1", "keyed", true);
     addUpstream(environment, "k-2", "keyed", true);
     startThreeVms(environment);
-    const Utils::ServiceId keyed { "keyed" };
-    const auto isAnyKeyOf = [&keyed](const Edge::Service& vm, const char* upstream) {
-        const auto found = vm.node.clusterView.assignments.find(keyed);
-        return found != vm.node.clusterView.assignments.end()
-            && std::any_of(found->second.segments.begin(), found->second.segments.end(),
-                [upstream](const Granting::Segment& segment) { return segment.holder.value == upstream; });
-    };
-    REQUIRE(runUntil(environment, [&] { return isAnyKeyOf(*environment.vms[2], "k-1"); }));
+    REQUIRE(runUntil(environment, [&] { return holdsAnyKey(*environment.vms[2], "k-1"); }));
     StandInSupport::crash(former.httpServer);
     removeUpstreamEntry(environment, former);
     REQUIRE(runUntil(
         environment,
         [&] {
             return std::none_of(environment.vms.begin(), environment.vms.end(),
-                [&](const std::unique_ptr<Edge::Service>& vm) { return isAnyKeyOf(*vm, "k-1"); });
+                [&](const std::unique_ptr<Edge::Service>& vm) { return holdsAnyKey(*vm, "k-1"); });
         },
         9000ms));
     if (row.leaderIsLost)
@@ -342,19 +344,45 @@
     const auto usesFormer = [&] {
         const Routing::DirectoryEntry* const entry
             = Routing::findUsable(started.node.clusterView.directory, { "k-1" });
-        return started.node.clusterView.directoryLoaded && (entry || isAnyKeyOf(started, "k-1"));
+        return started.node.clusterView.directoryLoaded && (entry || holdsAnyKey(started, "k-1"));
     };
     bool hasUsedFormer = false;
     CHECK(runUntil(
         environment,
         [&] {
             hasUsedFormer = hasUsedFormer || usesFormer();
-            return started.node.clusterView.directoryLoaded && isAnyKeyOf(started, "k-2");
+            return started.node.clusterView.directoryLoaded && holdsAnyKey(started, "k-2");
         },
         8000ms));
     CHECK_FALSE(hasUsedFormer);
 }
 
+TEST_CASE("A VM that starts from a fallback source gets the assignments that this one received as deltas",
+    "[relay]")
+{
+    // Guards against a fallback source that relays the last complete assignment that it received, in which
+    // withdrawn keys are still those of their former holder.
+    TestEnvironment environment;
+    TestUpstream& former = addUpstream(environment, "k-1", "keyed", true);
+    addUpstream(environment, "k-2", "keyed", true);
+    startThreeVms(environment);
+    REQUIRE(runUntil(environment, [&] { return holdsAnyKey(*environment.vms[1], "k-1"); }));
+    StandInSupport::crash(former.httpServer);
+    removeUpstreamEntry(environment, former);
+    REQUIRE(runUntil(
+        environment, [&] { return !holdsAnyKey(*environment.vms[1], "k-1"); }, 9000ms));
+    killVm(environment, 0);
+    const Edge::Node& source = environment.vms[1]->node;
+    REQUIRE(runUntil(environment, [&source] { return Edge::Internal::isRelaySource(source); }));
+    Edge::Node& started = startVm(environment).node;
+    started.settings.storeEndpoint = { "127.0.0.1", 1 };
+    started.relay.peers = { source.settings.address };
+    started.relay.connectToPeerNext = true;
+    REQUIRE(runUntil(environment, [&started] { return !started.clusterView.assignments.empty(); }));
+    CHECK(holdsAnyKey(*environment.vms[3], "k-2"));
+    CHECK_FALSE(holdsAnyKey(*environment.vms[3], "k-1"));
+}
+
 TEST_CASE("The known number of VMs does not fall when the leader changes", "[relay]")
 {
     // Guards against VMs that each take a larger share of a limit of the whole system.
