--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -8,6 +8,8 @@
 #include <edge/leaderelection.h>
 #include <edge/quarantinerecords.h>
 #include <edge/relay.h>
+#include <edge/relaysource.h>
+#include <edge/relaytree.h>
 #include <edge/storecalls.h>
 #include <edge/upstreamreach.h>
 #include <edge/storeera.h>
@@ -40,6 +42,9 @@
 /// Share of a core with which a VM can be the leader of a large cluster; the smallest VMs have a tenth.
 constexpr double minPreferredCpuShare = 0.3;
 
+/// The record is part of each update to subscribers.
+constexpr std::size_t maxRecordedRelays = 8;
+
 void clearLeaderState(Node& node, const char* reason)
 {
     const bool wasLeader
@@ -59,11 +64,21 @@
     node.leader.assignmentTopicEnd.reset();
 }
 
+/// Addresses of some VMs that a starting VM may ask if the leader is gone.
+std::vector<std::string> recordedRelays(const Node& node)
+{
+    std::vector<std::string> relays = subscriberAddresses(node);
+    relays.resize(std::min(relays.size(), maxRecordedRelays));
+    return relays;
+}
+
 void appendLeaseRecord(Node& node)
 {
     Granting::Leadership& leadership = node.leader.leadership;
     if (!leadership.term)
         Granting::updateSettledEra(leadership);
+    leadership.self.vmCount = node.relay.vmCount;
+    leadership.self.relays = isLargeFleet(node) ? recordedRelays(node) : std::vector<std::string>();
     Granting::recordAppendSent(leadership, now());
     Platform::AppendParameters parameters;
     parameters.topic = leaderTopic;
@@ -141,17 +156,12 @@
         sendDueGrants(node, plannedAt);
 }
 
-/// Relative delay (0..1) with which this VM tries to acquire an expired lease. VMs with a large share of a
-/// core and with a local store come first, as the leader makes most calls to the store and to holders of
-/// keys.
-double leaseAcquisitionJitter(const Node& node)
+/// Whether this VM is among those that try first to acquire the lease.
+bool isLeaseCandidate(const Node& node)
 {
-    constexpr double range = 65536;
-    const double randomDelay
-        = static_cast<double>(Utils::stableHash(node.settings.name.value, node.incarnation) % 65536) / range;
-    const double lowCpuDelay = node.settings.cpuShare < minPreferredCpuShare ? 0.5 : 0;
-    const double remoteStoreDelay = node.minStoreLatency > maxLocalStoreLatency ? 0.25 : 0;
-    return lowCpuDelay + remoteStoreDelay + randomDelay / 4;
+    const std::optional<Granting::LeaderRecord>& last = node.leader.leadership.lastRecord;
+    const bool wasLeader = last && last->loadReportEndpoint.address == node.settings.address;
+    return wasLeader || isStoreReader(node);
 }
 
 void tick(Node& node)
@@ -169,7 +179,9 @@
     const bool mayAcquire = leadership.term
         || (!node.stopping && !isReachLost(node) && node.clusterView.routeTable
             && node.clusterView.directoryLoaded);
-    const bool isDue = mayAcquire && Granting::isAppendDue(leadership, leaseAcquisitionJitter(node), at);
+    const bool isDue = mayAcquire && Granting::isAppendDue(leadership, leaseAcquisitionJitter(node), at)
+        && !Granting::isAcquisitionDeferred(
+            leadership, std::max<std::size_t>(node.relay.vmCount, 1), isLeaseCandidate(node), at);
     // A VM without recent requests may be cut off from the upstreams without having noticed.
     const bool isWaiting = isDue && !leadership.term && !confirmReach(node);
     if (isDue && !isWaiting)
@@ -196,10 +208,22 @@
             return std::optional<Granting::LeaderRecord>();
         });
     Granting::recordLogRead(node.leader.leadership, newest.offset + 1, record, now());
+    if (record && node.relay.peers.empty())
+        node.relay.peers = record->relays;
 }
 
 } // namespace Internal
 
+double leaseAcquisitionJitter(const Node& node)
+{
+    constexpr double range = 65536;
+    const double randomDelay
+        = static_cast<double>(Utils::stableHash(node.settings.name.value, node.incarnation) % 65536) / range;
+    const double lowCpuDelay = node.settings.cpuShare < Internal::minPreferredCpuShare ? 0.5 : 0;
+    const double remoteStoreDelay = node.minStoreLatency > maxLocalStoreLatency ? 0.25 : 0;
+    return lowCpuDelay + remoteStoreDelay + randomDelay / 4;
+}
+
 void startLeaderElection(Node& node) { Internal::tick(node); }
 
 void applyLeaderRecords(Node& node, const std::vector<Platform::StoreRecord>& records)
--- a/src/libs/edge/leaderelection.h
+++ b/src/libs/edge/leaderelection.h
@@ -12,6 +12,11 @@
 /// Starts to acquire or renew the leader lease and to run the tasks of the leader, until the VM stops.
 void startLeaderElection(Node& node);
 
+/// Relative delay (0..1) with which this VM tries to acquire an expired lease. VMs with a large share of a
+/// core and with a local store come first, as the leader makes most calls to the store and to holders of
+/// keys.
+double leaseAcquisitionJitter(const Node& node);
+
 /// Applies records of the leader topic, in order. \a records must not be empty.
 void applyLeaderRecords(Node& node, const std::vector<Platform::StoreRecord>& records);
 
--- a/src/libs/edge/members.cpp
+++ b/src/libs/edge/members.cpp
@@ -33,6 +33,8 @@
         const Tcp::endpoint endpoint = it->second->socket.remote_endpoint(error);
         if (!error && it->second->subscribed)
             subscribed.push_back(endpoint.address().to_string());
+        subscribed.insert(
+            subscribed.end(), it->second->relayedMembers.begin(), it->second->relayedMembers.end());
     }
     recordMembers(node, subscribed);
     std::vector<std::string> addresses;
--- a/src/libs/edge/relay.cpp
+++ b/src/libs/edge/relay.cpp
@@ -5,10 +5,13 @@
 #include <edge/relay.h>
 #include <edge/relaysource.h>
 #include <edge/relaysubscriber.h>
+#include <edge/relaytree.h>
 #include <granting/loadreportcodec.h>
 #include <relay/framecodec.h>
 #include <utils/hash.h>
 
+#include <utility>
+
 namespace Edge {
 
 namespace Internal {
@@ -92,15 +95,18 @@
     for (auto it = node.leader.requestCounts.begin(); it != node.leader.requestCounts.end(); ++it)
         report.services.push_back(it->second);
     node.leader.requestCounts.clear();
-    if (report.services.empty() && node.requestLimits.unsentToSource.empty())
+    if (report.services.empty() && node.requestLimits.unsentToSource.empty()
+        && !node.relay.relayedMembersChanged)
         return;
     if (Granting::holdsLeaderLease(node.leader.leadership, now())) {
         node.requestLimits.unsentToSource.clear();
         applyLoadReport(node, report);
-    } else if (node.relay.sourceLink && node.relay.isSubscribed)
-        Internal::sendFrame(node, node.relay.sourceLink,
-            Relay::encodeFrame(
-                Relay::LoadFrame { Granting::encodeReport(report), takeNoticesForSource(node) }));
+    } else if (node.relay.sourceLink && node.relay.isSubscribed) {
+        Relay::LoadFrame frame { Granting::encodeReport(report), takeNoticesForSource(node), std::nullopt };
+        if (std::exchange(node.relay.relayedMembersChanged, false))
+            frame.members = Internal::relayedAddresses(node);
+        Internal::sendFrame(node, node.relay.sourceLink, Relay::encodeFrame(frame));
+    }
 }
 
 } // namespace Edge
--- a/src/libs/edge/relaylink.h
+++ b/src/libs/edge/relaylink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <edge/relayframe.h>
 #include <edge/sockets.h>
 #include <utils/ids.h>
 
@@ -7,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <string>
+#include <vector>
 
 namespace Edge {
 
@@ -26,7 +28,7 @@
     /// Received bytes that have not been decoded yet.
     std::string received;
     /// Frames to send; the first one is being written.
-    std::deque<std::string> sendQueue;
+    std::deque<RelayFrame> sendQueue;
     std::size_t sendQueueBytes = 0;
     /// The VM at one end has subscribed to the other one, and frames may be sent in both directions.
     bool subscribed = false;
@@ -34,6 +36,22 @@
     bool storeIsLocal = false;
     /// At the subscriber: the first update contains all reports, as this VM had none.
     bool requestedAllReports = false;
+    /// At the source: the availability zone of the subscriber.
+    Utils::ZoneId zone;
+    /// At the source: the subscriber can relay to other VMs, and follows redirects itself.
+    bool mayRelay = false;
+    /// At the source: the leader has named this VM to the subscriber as its relay.
+    bool isRedirected = false;
+    /// At the source: addresses of the VMs that receive records through the subscriber.
+    std::vector<std::string> relayedMembers;
+    /// At the source: VMs that were redirected to the subscriber since it last reported relayedMembers.
+    std::size_t redirects = 0;
+    /// At the source: share of a core of the subscriber, in percent.
+    unsigned cpuPercent = 0;
+    /// At the subscriber: the other VM has sent an update as a source.
+    bool hasDelivered = false;
+    /// At the subscriber: address of the relay at the other end; empty if the leader has not named it.
+    std::string relayAddress;
     /// The VM at the other end; empty for a peer that is not known to be the leader.
     Utils::VmId vm;
 };
--- a/src/libs/edge/relaylinks.cpp
+++ b/src/libs/edge/relaylinks.cpp
@@ -1,8 +1,9 @@
 #include <edge/relaysource.h>
 #include <edge/crashreports.h>
 #include <edge/relaylinks.h>
-#include <edge/addressreuse.h>
+#include <edge/clock.h>
 #include <edge/relaysubscriber.h>
+#include <edge/relaytree.h>
 #include <logging/log.h>
 #include <relay/framecodec.h>
 #include <relay/relayerror.h>
@@ -30,7 +31,7 @@
 
 void writeNextFrame(Node& node, const LinkPtr& link)
 {
-    boost::asio::async_write(link->socket, boost::asio::buffer(link->sendQueue.front()),
+    boost::asio::async_write(link->socket, boost::asio::buffer(*link->sendQueue.front()),
         [&node, link](const ErrorCode& error, std::size_t) {
             if (!isOpen(node, *link))
                 return;
@@ -38,16 +39,16 @@
                 closeLink(node, link, "write");
                 return;
             }
-            link->sendQueueBytes -= link->sendQueue.front().size();
+            link->sendQueueBytes -= link->sendQueue.front()->size();
             link->sendQueue.pop_front();
             if (!link->sendQueue.empty())
                 writeNextFrame(node, link);
         });
 }
 
-void sendFrame(Node& node, const LinkPtr& link, std::string frame)
+void sendFrame(Node& node, const LinkPtr& link, RelayFrame frame)
 {
-    link->sendQueueBytes += frame.size();
+    link->sendQueueBytes += frame->size();
     if (link->sendQueueBytes > maxSendQueueBytes) {
         closeLink(node, link, "full");
         return;
@@ -57,6 +58,11 @@
         writeNextFrame(node, link);
 }
 
+void sendFrame(Node& node, const LinkPtr& link, std::string frame)
+{
+    sendFrame(node, link, std::make_shared<const std::string>(std::move(frame)));
+}
+
 void handleFrame(Node& node, const LinkPtr& link, const Relay::Frame& frame)
 {
     if (const Relay::Subscription* subscription = std::get_if<Relay::Subscription>(&frame))
@@ -64,9 +70,9 @@
     else if (const Relay::Update* update = std::get_if<Relay::Update>(&frame))
         handleUpdate(node, link, *update);
     else if (const Relay::LoadFrame* loadReport = std::get_if<Relay::LoadFrame>(&frame))
-        handleLoadReport(node, *loadReport);
+        handleLoadReport(node, link, *loadReport);
     else if (const Relay::TerminationFrame* termination = std::get_if<Relay::TerminationFrame>(&frame))
-        handleTerminationReport(node, termination->upstream, termination->offset);
+        handleRelayedTermination(node, *termination);
     else if (const Relay::CrashReportFrame* reports = std::get_if<Relay::CrashReportFrame>(&frame))
         handleCrashReports(node, *reports, false);
 }
@@ -102,6 +108,9 @@
                 closeLink(node, link, "read");
                 return;
             }
+            // A first update takes long on a saturated link; to subscribe again would not be faster.
+            if (node.relay.sourceLink == link)
+                node.relay.lastReceivedAt = now();
             link->received.append(link->readBuffer.data(), size);
             if (!handleFrames(node, link))
                 closeLink(node, link, "frame");
@@ -110,17 +119,19 @@
         });
 }
 
-void closeLink(Node& node, const LinkPtr& link, const char* reason)
+void closeLink(Node& node, const LinkPtr& link, std::string_view reason)
 {
     ErrorCode ignored;
     link->socket.close(ignored);
     const bool wasSourceLink = node.relay.sourceLink && node.relay.sourceLink->id == link->id;
     if (wasSourceLink) {
         node.relay.sourceLink.reset();
+        recordRelayLost(node, *link, reason == silentReason);
         resendCrashReports(node);
-        handleSourceDisconnected(node);
+        handleSourceDisconnected(node, *link);
     }
-    node.relay.subscribers.erase(link->id);
+    if (node.relay.subscribers.erase(link->id) > 0 && link->subscribed)
+        node.relay.relayedMembersChanged = true;
     Logging::write(Logging::Level::Info, "link_lost",
         { { "to_leader", wasSourceLink }, { "vm", link->vm.value }, { "why", reason } });
 }
--- a/src/libs/edge/relaysource.cpp
+++ b/src/libs/edge/relaysource.cpp
@@ -1,10 +1,13 @@
 #include <edge/clock.h>
+#include <edge/addressreuse.h>
 #include <edge/crashreports.h>
+#include <edge/firstupdates.h>
 #include <edge/members.h>
 #include <edge/leaderelection.h>
 #include <edge/limitkeeping.h>
 #include <edge/relay.h>
 #include <edge/relaysource.h>
+#include <edge/relaytree.h>
 #include <granting/assignmentdelta.h>
 #include <granting/loadreportcodec.h>
 #include <granting/recordcodec.h>
@@ -13,6 +16,8 @@
 
 #include <boost/leaf.hpp>
 #include <algorithm>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 namespace Edge {
@@ -33,9 +38,6 @@
 /// Maximum number of addresses that are sent to subscribers.
 constexpr std::size_t maxPeers = 32;
 
-/// Maximum age of the cached first update for VMs without records; about one heartbeat interval.
-constexpr Utils::Duration maxInitialFrameAge = std::chrono::milliseconds(250);
-
 /// The last read of the store by a source is considered fresh for this long. A long poll takes 700 ms, and
 /// the network latency to the store may be 40 ms. This detects a leader with a half-open connection to the
 /// store.
@@ -47,8 +49,22 @@
     return reports.consecutiveFailures == 0 && now() - reports.lastResponseAt < maxFreshReadAge;
 }
 
+/// What a relay last received is considered fresh for this long; two heartbeats of the leader may be late.
+constexpr Utils::Duration maxFreshUpdateAge = std::chrono::milliseconds(900);
+
+/// Whether a VM that receives records of this one gets them in time.
+bool isFresh(const Node& node)
+{
+    if (!node.relay.isSubscribed || Granting::holdsLeaderLease(node.leader.leadership, now()))
+        return hasFreshRead(node);
+    return node.relay.sourceIsFresh && now() - node.relay.sourceUpdatedAt < maxFreshUpdateAge;
+}
+
 bool isLeader(const Node& node) { return Granting::holdsLeaderLease(node.leader.leadership, now()); }
 
+/// Whether this VM gets its records from another one.
+bool isReceiving(const Node& node) { return node.relay.isSubscribed && !isLeader(node); }
+
 bool isRelaySource(const Node& node)
 {
     const bool readsStore = !node.relay.isSubscribed && node.clusterView.routeTable
@@ -76,30 +92,30 @@
         isLeader(node) ? leadership.self : leadership.lastRecord.value_or(Granting::LeaderRecord()));
     update.leaderTopicEnd = leadership.logEnd.value_or(0);
     update.senderIsSource = true;
-    update.isFresh = hasFreshRead(node);
+    update.isFresh = isFresh(node);
+    update.hops = isReceiving(node) ? static_cast<std::uint8_t>(node.relay.sourceHops + 1) : 0;
     update.reportsEnd = relayedReportsEnd(node);
     update.vmCount = node.relay.vmCount;
     update.records = std::move(records);
     return update;
 }
 
-/// Addresses of subscribers with a local store, which can relay to VMs with a remote store, or of all
-/// subscribers if there are none. At most as many as a VM may need to find one that is running.
 std::vector<std::string> subscriberAddresses(const Node& node)
 {
-    std::vector<std::string> withLocalStore;
-    std::vector<std::string> withRemoteStore;
+    std::vector<std::tuple<bool, unsigned, std::string>> ranked;
     for (auto it = node.relay.subscribers.begin(); it != node.relay.subscribers.end(); ++it) {
         ErrorCode error;
         const Tcp::endpoint endpoint = it->second->socket.remote_endpoint(error);
         if (!error)
-            (it->second->storeIsLocal ? withLocalStore : withRemoteStore)
-                .push_back(endpoint.address().to_string());
+            ranked.emplace_back(
+                it->second->storeIsLocal, it->second->cpuPercent, endpoint.address().to_string());
+    }
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    std::vector<std::string> addresses;
+    for (auto it = ranked.begin(); it != ranked.end() && addresses.size() < maxPeers; ++it) {
+        if (std::get<bool>(*it) == std::get<bool>(ranked.front()))
+            addresses.push_back(std::move(std::get<std::string>(*it)));
     }
-    std::vector<std::string> addresses
-        = withLocalStore.empty() ? std::move(withRemoteStore) : std::move(withLocalStore);
-    if (addresses.size() > maxPeers)
-        addresses.resize(maxPeers);
     return addresses;
 }
 
@@ -127,29 +143,24 @@
     Relay::Update update = makeUpdate(node, std::move(records));
     update.limits = takeNoticesForSubscribers(node);
     if (membersChanged) {
-        update.peers = subscriberAddresses(node);
+        update.peers = isReceiving(node) ? node.relay.peers : subscriberAddresses(node);
         update.members = std::move(members);
     }
-    const std::string frame = Relay::encodeFrame(update);
+    const RelayFrame frame = std::make_shared<const std::string>(Relay::encodeFrame(update));
     for (const LinkPtr& link : subscribedLinks(node))
         sendFrame(node, link, frame);
 }
 
-bool isNeeded(const Relay::RelayRecord& record, const Relay::Subscription& subscription)
+/// Sends who the leader is, and which \a relay to subscribe to if it is not empty.
+void sendRedirect(Node& node, const LinkPtr& link, std::string relay)
 {
-    switch (record.topic) {
-    case RelayTopic::Configurations:
-        return record.offset >= subscription.configurations;
-    case RelayTopic::Reports:
-        // A removal is relayed some time after the record that shows it, so the offset does not tell whether
-        // the subscriber has it.
-        return !record.value || record.offset >= subscription.reports;
-    case RelayTopic::Assignments:
-        return record.offset >= subscription.assignments;
-    case RelayTopic::AssignmentDeltas:
-        return false;
-    }
-    return false;
+    const Granting::Leadership& leadership = node.leader.leadership;
+    link->subscribed = false;
+    Relay::Update update;
+    update.leader = Granting::encodeLeader(isLeader(node) ? leadership.self : *leadership.lastRecord);
+    update.leaderTopicEnd = leadership.logEnd.value_or(0);
+    update.relay = std::move(relay);
+    sendFrame(node, link, Relay::encodeFrame(update));
 }
 
 /// Sends who the leader is to a VM, as this VM is not a source.
@@ -160,64 +171,65 @@
         closeLink(node, link, "not_leading");
         return;
     }
-    link->subscribed = false;
-    Relay::Update update;
-    update.leader = Granting::encodeLeader(*leadership.lastRecord);
-    update.leaderTopicEnd = leadership.logEnd.value_or(0);
-    sendFrame(node, link, Relay::encodeFrame(update));
-}
-
-/// Returns the records that a VM with the offsets in \a subscription has not read.
-std::vector<Relay::RelayRecord> findMissedRecords(const Node& node, const Relay::Subscription& subscription)
-{
-    std::vector<Relay::RelayRecord> records;
-    for (auto it = node.relay.newestRecords.begin(); it != node.relay.newestRecords.end(); ++it) {
-        if (isNeeded(it->second, subscription))
-            records.push_back(it->second);
-    }
-    return records;
-}
-
-/// The first update for VMs without records.
-///
-/// Load pattern: all VMs restart at once and each needs all records. The encoded frame is therefore cached.
-const std::string& initialFrameFor(Node& node, const Relay::Subscription& subscription)
-{
-    RelayState& relay = node.relay;
-    if (relay.initialFrame.empty() || now() - relay.initialFrameEncodedAt > maxInitialFrameAge) {
-        relay.initialFrame = Relay::encodeFrame(makeUpdate(node, findMissedRecords(node, subscription)));
-        relay.initialFrameEncodedAt = now();
-    }
-    return relay.initialFrame;
+    sendRedirect(node, link, {});
 }
 
 void handleSubscription(Node& node, const LinkPtr& link, const Relay::Subscription& subscription)
 {
-    if (!isRelaySource(node)) {
+    link->vm = subscription.vm;
+    if (!isRelaySource(node) && !(subscription.isRedirected && isRelay(node))) {
         nameLeaderTo(node, link);
         return;
     }
-    link->vm = subscription.vm;
+    if (std::optional<std::string> relay = findRelayFor(node, subscription)) {
+        sendRedirect(node, link, std::move(*relay));
+        return;
+    }
     link->storeIsLocal = subscription.storeIsLocal;
+    link->zone = subscription.zone;
+    link->mayRelay = subscription.followsRedirects;
+    link->isRedirected = subscription.isRedirected;
+    link->cpuPercent = subscription.cpuPercent;
     link->subscribed = true;
     node.relay.subscribersChanged = true;
+    node.relay.relayedMembersChanged = true;
     queueLimitsForSubscribers(node);
     sendKnownCrashes(node, link);
-    const bool hasNoRecords
-        = subscription.configurations == 0 && subscription.reports == 0 && subscription.assignments == 0;
-    sendFrame(node, link,
-        hasNoRecords ? initialFrameFor(node, subscription)
-                     : Relay::encodeFrame(makeUpdate(node, findMissedRecords(node, subscription))));
+    sendFirstUpdate(node, link, subscription);
+}
+
+/// Adds the requests that a subscriber has counted to those that this VM reports next.
+void addToOwnReport(Node& node, const Granting::LoadReport& report)
+{
+    for (const Granting::ServiceKeyCounts& reported : report.services) {
+        Granting::ServiceKeyCounts& own = node.leader.requestCounts[reported.service];
+        own.service = reported.service;
+        for (auto it = reported.counts.begin(); it != reported.counts.end(); ++it) {
+            std::uint16_t& count = own.counts[it->first];
+            count = static_cast<std::uint16_t>(std::min<unsigned>(count + it->second, UINT16_MAX));
+        }
+    }
+}
+
+void handleRelayedTermination(Node& node, const Relay::TerminationFrame& termination)
+{
+    reportTermination(node, termination.upstream, termination.offset);
+    handleTerminationReport(node, termination.upstream, termination.offset);
 }
 
-void handleLoadReport(Node& node, const Relay::LoadFrame& frame)
+void handleLoadReport(Node& node, const LinkPtr& link, const Relay::LoadFrame& frame)
 {
     const std::string& encodedReport = frame.report;
     recordReportedLimits(node, frame.limits, false);
+    if (frame.members)
+        recordRelayedMembers(node, link, *frame.members);
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(report, Granting::decodeReport({ encodedReport.data(), encodedReport.size() }));
-            applyLoadReport(node, report);
+            if (isReceiving(node))
+                addToOwnReport(node, report);
+            else
+                applyLoadReport(node, report);
             return {};
         },
         [&]() {
@@ -230,11 +242,17 @@
 
 void queueForRelay(Node& node, Relay::RelayRecord record)
 {
-    Relay::RelayRecord& newest = node.relay.newestRecords[{ record.topic, record.key }];
-    if (record.offset < newest.offset)
-        return;
-    newest = record;
-    node.relay.initialFrame.clear();
+    Internal::dropFirstUpdates(node);
+    if (record.topic == Relay::RelayTopic::Assignments
+        || record.topic == Relay::RelayTopic::AssignmentDeltas) {
+        Utils::Offset& newest = node.relay.assignmentOffsets[{ record.key }];
+        newest = std::max(newest, record.offset);
+    } else {
+        Relay::RelayRecord& newest = node.relay.newestRecords[{ record.topic, record.key }];
+        if (record.offset < newest.offset)
+            return;
+        newest = record;
+    }
     node.relay.unsentRecords.push_back(std::move(record));
 }
 
@@ -246,15 +264,15 @@
             { Relay::RelayTopic::Assignments, next.service.value, Granting::encodeAssignment(next), offset });
         return;
     }
-    node.relay.initialFrame.clear();
-    node.relay.newestRecords[{ Relay::RelayTopic::Assignments, next.service.value }]
-        = { Relay::RelayTopic::Assignments, next.service.value, Granting::encodeAssignment(next), offset };
-    node.relay.unsentRecords.push_back({ Relay::RelayTopic::AssignmentDeltas, next.service.value,
-        Granting::encodeDelta(Granting::computeDelta(previous, next)), offset });
+    queueForRelay(node,
+        { Relay::RelayTopic::AssignmentDeltas, next.service.value,
+            Granting::encodeDelta(Granting::computeDelta(previous, next)), offset });
 }
 
 void flushRelay(Node& node)
 {
+    if (node.relay.isApplyingUpdate)
+        return;
     const Utils::Instant at = now();
     std::vector<Relay::RelayRecord>& unsent = node.relay.unsentRecords;
     if (!Internal::isRelaying(node)) {
@@ -262,7 +280,8 @@
         return;
     }
     // Of configurations in quick succession only the last one matters, and they may be large.
-    const bool isTooEarly = at - node.relay.configurationRelayedAt < configurationRelayInterval;
+    const bool isTooEarly
+        = !Internal::isReceiving(node) && at - node.relay.configurationRelayedAt < configurationRelayInterval;
     const auto isConfiguration
         = [](const Relay::RelayRecord& record) { return record.topic == Relay::RelayTopic::Configurations; };
     const auto firstDeferred = std::stable_partition(unsent.begin(), unsent.end(),
@@ -279,8 +298,10 @@
 
 void redirectSubscribersToLeader(Node& node)
 {
-    for (const Internal::LinkPtr& link : Internal::subscribedLinks(node))
-        Internal::nameLeaderTo(node, link);
+    for (const Internal::LinkPtr& link : Internal::subscribedLinks(node)) {
+        if (!link->isRedirected || !Internal::isRelay(node))
+            Internal::nameLeaderTo(node, link);
+    }
 }
 
 void disconnectSubscribers(Node& node)
--- a/src/libs/edge/relaystate.h
+++ b/src/libs/edge/relaystate.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <edge/firstupdate.h>
 #include <edge/guardedtimer.h>
 #include <edge/relaylink.h>
 #include <edge/sockets.h>
+#include <edge/sourcekind.h>
 #include <relay/relayrecord.h>
 #include <utils/time.h>
 
@@ -34,12 +36,20 @@
     /// The link to the leader or to a fallback source.
     std::shared_ptr<RelayLink> sourceLink;
     Utils::Instant lastConnectAttemptAt {};
-    /// When an update was last received on sourceLink, or when it was opened.
+    /// When bytes were last received on sourceLink, or when it was opened.
     Utils::Instant lastReceivedAt {};
     /// A source relays new records to this VM, which does not read the store meanwhile.
     bool isSubscribed = false;
-    /// The source is not known to be the leader.
-    bool usesFallbackSource = false;
+    SourceKind sourceKind = SourceKind::Leader;
+    /// Whether the source was fresh by its last update, when that was received, and the number of VMs between
+    /// the source and the one that reads the store.
+    bool sourceIsFresh = false;
+    Utils::Instant sourceUpdatedAt {};
+    std::uint8_t sourceHops = 0;
+    /// When a relay last failed to serve this VM.
+    Utils::Instant relayFailedAt {};
+    /// The VMs that receive records through this one have changed since the source was told.
+    bool relayedMembersChanged = false;
     /// Addresses of VMs that may be a source or know the leader.
     std::vector<std::string> peers;
     /// Addresses of all known VMs, and when each was last named by the leader or, on the leader, subscribed.
@@ -55,16 +65,18 @@
     /// Number of VMs that share the limits of the whole system, according to the leader; 0 while it is not
     /// known.
     std::uint32_t vmCount = 0;
-    /// The newest record of each key that changed the cluster view.
+    /// Offset of the record from which the assignment in force of each service stems.
+    std::map<Utils::ServiceId, Utils::Offset> assignmentOffsets;
+    /// The newest record of each key that changed the cluster view, except assignments.
     std::map<std::pair<Relay::RelayTopic, std::string>, Relay::RelayRecord> newestRecords;
     /// When a configuration was last relayed.
     Utils::Instant configurationRelayedAt {};
     /// Records that are queued to be relayed.
     std::vector<Relay::RelayRecord> unsentRecords;
     Utils::Instant lastUpdateSentAt {};
-    /// Cached first update for VMs that have no records, as many may start together.
-    std::string initialFrame;
-    Utils::Instant initialFrameEncodedAt {};
+    /// An update is being applied, whose records are relayed together afterwards.
+    bool isApplyingUpdate = false;
+    std::vector<FirstUpdate> firstUpdates;
     boost::asio::steady_timer timer;
     /// Runs until the store is read unless a source is found before.
     GuardedTimer storeReadTimer;
--- a/src/libs/edge/relaysubscriber.cpp
+++ b/src/libs/edge/relaysubscriber.cpp
@@ -1,17 +1,21 @@
 #include <edge/clusterviewupdates.h>
 #include <edge/clock.h>
+#include <edge/leaderelection.h>
 #include <edge/crashreports.h>
 #include <edge/limitkeeping.h>
 #include <edge/members.h>
+#include <edge/relaysource.h>
 #include <edge/topicfollowing.h>
 #include <edge/relay.h>
 #include <edge/relaysubscriber.h>
+#include <edge/relaytree.h>
 #include <granting/recordcodec.h>
 #include <logging/log.h>
 #include <platform/storecalls.h>
 #include <platform/storeposition.h>
 #include <relay/framecodec.h>
 #include <relay/patience.h>
+#include <relay/sourcesearch.h>
 #include <utils/hash.h>
 
 #include <boost/leaf.hpp>
@@ -32,19 +36,13 @@
 /// source search that follows.
 constexpr Utils::Duration minSourceTimeout = std::chrono::milliseconds(1000);
 
-/// A VM with a remote store looks for another source for this long before it reads the store. Together with
-/// minSourceTimeout, this is part of the time until a change takes effect.
-constexpr Utils::Duration sourceSearchTimeout = std::chrono::milliseconds(600);
-
-/// The same at the start; a restarted leader can be reached within a tenth of a second. The jitter keeps VMs
-/// with a remote store from reading it at the same time.
-constexpr Utils::Duration startupSourceSearchTimeout = std::chrono::milliseconds(1500);
-constexpr Utils::Duration maxStartupSourceSearchJitter = std::chrono::milliseconds(1500);
-
 /// Minimum time between two connection attempts, and the same until the directory is loaded.
 constexpr Utils::Duration connectInterval = std::chrono::milliseconds(600);
 constexpr Utils::Duration startupConnectInterval = std::chrono::milliseconds(50);
 
+/// A connection to a VM of another region takes 40 ms, unless the link is saturated.
+constexpr Utils::Duration connectTimeout = std::chrono::milliseconds(700);
+
 /// Larger configurations strain the links between regions when many VMs read them.
 constexpr std::size_t largeConfigurationBytes = 50000;
 
@@ -83,15 +81,26 @@
         advanceNextOffset(node.topicFollowers.assignments, record.offset);
         break;
     case RelayTopic::AssignmentDeltas:
-        if (applyAssignmentDelta(node, record.value.value_or("")))
-            advanceNextOffset(node.topicFollowers.assignments, record.offset);
-        else
+        if (!applyAssignmentDelta(node, record.value.value_or("")))
             return false;
+        queueForRelay(node, record);
+        advanceNextOffset(node.topicFollowers.assignments, record.offset);
         break;
     }
     return true;
 }
 
+/// Applies the records of an update. Returns false if one is a delta whose base is not in force here.
+bool applyRecords(Node& node, const std::vector<Relay::RelayRecord>& records)
+{
+    node.relay.isApplyingUpdate = true;
+    const bool isComplete = std::all_of(records.begin(), records.end(),
+        [&node](const Relay::RelayRecord& record) { return applyRecord(node, record); });
+    node.relay.isApplyingUpdate = false;
+    flushRelay(node);
+    return isComplete;
+}
+
 /// Whether reading the configuration from the store strains the link between regions.
 ///
 /// Load pattern: the leader is lost while a large configuration changes repeatedly, and all VMs of the
@@ -113,23 +122,32 @@
     return std::min(limits.configurationApplyTimeout, limits.drainTimeout);
 }
 
-bool isStoreRemote(const Node& node) { return node.minStoreLatency > maxLocalStoreLatency; }
+SourceKind sourceKindOf(const RelayLink& link)
+{
+    if (!link.relayAddress.empty())
+        return SourceKind::Relay;
+    return link.vm.value.empty() ? SourceKind::Fallback : SourceKind::Leader;
+}
 
 /// Whether this VM has no source and the store does not respond either.
 bool isDisconnectedFromLeaderAndStore(const Node& node)
 {
-    return !node.relay.isSubscribed && node.topicFollowers.leader.consecutiveFailures > 1;
+    return !node.relay.isSubscribed && isStoreFailing(node);
 }
 
-/// Whether to look for a relay source among the peers rather than to read the store.
-bool shouldSeekSource(const Node& node)
+/// How long to look for a relay source among the peers before the store is read.
+Utils::Duration searchTimeout(const Node& node)
 {
-    return isStoreRemote(node) && !node.relay.peers.empty()
-        && !Granting::holdsLeaderLease(node.leader.leadership, now());
+    if (node.relay.peers.empty() || Granting::holdsLeaderLease(node.leader.leadership, now()))
+        return Utils::Duration::zero();
+    return Relay::sourceSearchTimeout(searchSituation(node));
 }
 
+bool shouldSeekSource(const Node& node) { return searchTimeout(node) > Utils::Duration::zero(); }
+
 void resumeTopicFollowers(Node& node)
 {
+    resumeFollowing(node, node.topicFollowers.leader);
     resumeFollowing(node, node.topicFollowers.reports);
     resumeFollowing(node, node.topicFollowers.configurations);
     resumeFollowing(node, node.topicFollowers.assignments);
@@ -151,10 +169,13 @@
     const std::optional<Granting::LeaderRecord>& leader = node.leader.leadership.lastRecord;
     const bool otherVmLeads
         = leader && !leader->vm.value.empty() && leader->loadReportEndpoint.address != node.settings.address;
-    if (otherVmLeads && isStoreRemote(node)) {
-        constexpr std::uint64_t steps = 1024;
-        const std::uint64_t step = Utils::stableHash(node.settings.name.value) % steps;
-        scheduleStoreReading(node, startupSourceSearchTimeout + maxStartupSourceSearchJitter * step / steps);
+    Utils::Duration delay {};
+    if (otherVmLeads)
+        delay = Relay::startupSourceSearchTimeout(searchSituation(node));
+    else if (!leader && node.settings.isFirstStart)
+        delay = Relay::firstStartDelay(leaseAcquisitionJitter(node));
+    if (delay > Utils::Duration::zero()) {
+        scheduleStoreReading(node, delay);
     } else {
         cancelTimer(node.relay.storeReadTimer);
         resumeTopicFollowers(node);
@@ -173,25 +194,29 @@
     node.topicFollowers.configurations.extraSnapshotTimeout
         = isReadExpensive ? largeConfigurationExtraTimeout : Utils::Duration::zero();
     Logging::write(Logging::Level::Warning, "dependency_lost",
-        { { "dependency", node.relay.usesFallbackSource ? "source" : "leader" } });
-    resumeFollowing(node, node.topicFollowers.leader);
+        { { "dependency", Utils::enumName(sourceKindNames, node.relay.sourceKind) } });
     if (!shouldSeekSource(node)) {
         resumeTopicFollowers(node);
         return;
     }
+    if (!isLargeFleet(node))
+        resumeFollowing(node, node.topicFollowers.leader);
     node.relay.connectToPeerNext = true;
     node.relay.lastConnectAttemptAt = {};
-    scheduleStoreReading(node, sourceSearchTimeout);
+    scheduleStoreReading(node, searchTimeout(node));
 }
 
-void handleSourceDisconnected(Node& node)
+void handleSourceDisconnected(Node& node, const RelayLink& link)
 {
     fallBackToStore(node);
     const bool isSeeking
         = !node.relay.isSubscribed && node.topicFollowers.reports.paused && shouldSeekSource(node);
     if (!isSeeking)
         return;
-    node.relay.connectToPeerNext = true;
+    // The leader names another relay in place of a lost one. A VM that starts tries it by turns with the
+    // peers.
+    const bool isStarting = !node.clusterView.directoryLoaded;
+    node.relay.connectToPeerNext = link.relayAddress.empty() && !(isStarting && link.vm.value.empty());
     node.relay.lastConnectAttemptAt = {};
 }
 
@@ -200,14 +225,12 @@
     if (node.relay.isSubscribed)
         return;
     node.relay.isSubscribed = true;
-    node.relay.usesFallbackSource = link.vm.value.empty();
+    node.relay.sourceKind = sourceKindOf(link);
     cancelTimer(node.relay.storeReadTimer);
     Logging::write(Logging::Level::Info, "dependency_regained",
-        { { "dependency", node.relay.usesFallbackSource ? "source" : "leader" }, { "vm", link.vm.value } });
-    pauseFollowing(node, node.topicFollowers.leader);
-    pauseFollowing(node, node.topicFollowers.reports);
-    pauseFollowing(node, node.topicFollowers.configurations);
-    pauseFollowing(node, node.topicFollowers.assignments);
+        { { "dependency", Utils::enumName(sourceKindNames, node.relay.sourceKind) }, { "vm", link.vm.value },
+            { "relay", link.relayAddress } });
+    pauseFollowingAll(node);
     redirectSubscribersToLeader(node);
 }
 
@@ -235,8 +258,11 @@
 /// Leaves a source unless it becomes fresh again meanwhile.
 void scheduleLeavingStaleSource(Node& node, const LinkPtr& link)
 {
-    const Utils::Duration patience = Relay::staleSourcePatience(
-        changeTimeout(node), Utils::stableHash(node.settings.name.value, node.incarnation));
+    const std::uint64_t seed = Utils::stableHash(node.settings.name.value, node.incarnation);
+    const bool hasSubscribers = !subscribedLinks(node).empty();
+    const Utils::Duration patience = link->relayAddress.empty()
+        ? Relay::staleSourcePatience(changeTimeout(node), hasSubscribers ? 0 : seed)
+        : Relay::staleRelayPatience(changeTimeout(node), seed);
     if (patience <= Utils::Duration::zero()) {
         leaveStaleSource(node, link);
         return;
@@ -249,7 +275,6 @@
 
 void handleUpdate(Node& node, const LinkPtr& link, const Relay::Update& update)
 {
-    node.relay.lastReceivedAt = now();
     if (update.senderIsSource && update.vmCount > 0)
         node.relay.vmCount = update.vmCount;
     const std::optional<Granting::LeaderRecord> leader = leaf::try_handle_all(
@@ -262,9 +287,7 @@
         closeLink(node, link, "leader_unreadable");
         return;
     }
-    for (const Relay::RelayRecord& record : update.records) {
-        if (applyRecord(node, record))
-            continue;
+    if (!applyRecords(node, update.records)) {
         // The first update of a new subscription contains the missing records.
         closeLink(node, link, "delta_without_base");
         node.relay.lastConnectAttemptAt = {};
@@ -274,16 +297,23 @@
         node.relay.peers = update.peers;
     if (!update.members.empty())
         recordMembers(node, update.members);
+    node.relay.subscribersChanged |= !update.members.empty() && !node.relay.subscribers.empty();
     recordReportedLimits(node, update.limits, true);
     // The sender may not know yet that the store has returned from an older copy.
     if (Platform::eraOf(update.leaderTopicEnd) >= node.leader.leadership.storeEra)
         Granting::recordLogRead(node.leader.leadership, update.leaderTopicEnd, leader, now());
-    // A VM that is not a source sends a single response, which names the leader.
+    // A VM that is not a source sends a single response, which names the leader or a relay.
     if (!update.senderIsSource) {
-        closeLink(node, link, "leader_named");
+        closeLink(node, link, update.relay.empty() ? "leader_named" : "redirected");
         node.relay.lastConnectAttemptAt = {};
+        if (!update.relay.empty())
+            subscribeToRelay(node, update.relay);
         return;
     }
+    link->hasDelivered = true;
+    node.relay.sourceHops = update.hops;
+    node.relay.sourceIsFresh = update.isFresh;
+    node.relay.sourceUpdatedAt = now();
     recordSourceProgress(node, *link, update);
     if (update.isFresh) {
         node.relay.staleSourceId = 0;
@@ -306,6 +336,13 @@
     subscription.reports = node.topicFollowers.reports.nextOffset.value_or(0);
     subscription.assignments = node.topicFollowers.assignments.nextOffset.value_or(0);
     subscription.storeIsLocal = !isStoreRemote(node);
+    subscription.zone = node.settings.zone;
+    subscription.followsRedirects = true;
+    subscription.isRedirected = !link->relayAddress.empty();
+    subscription.subscribers = static_cast<std::uint32_t>(relayedAddresses(node).size());
+    subscription.relayFailed = hasRelayFailed(node);
+    subscription.cpuPercent = static_cast<std::uint8_t>(std::clamp(node.settings.cpuShare * 100, 0.0, 255.0));
+    node.relay.relayedMembersChanged = subscription.subscribers > 0;
     link->requestedAllReports = subscription.reports == 0;
     node.relay.lastReceivedAt = now();
     sendFrame(node, link, Relay::encodeFrame(subscription));
@@ -362,7 +399,11 @@
     }
     if (relay.sourceLink
         && at - relay.lastReceivedAt > Relay::silentSourceTimeout(changeTimeout(node), minSourceTimeout)) {
-        closeLink(node, LinkPtr(relay.sourceLink), "silent");
+        closeLink(node, LinkPtr(relay.sourceLink), silentReason);
+        return;
+    }
+    if (relay.sourceLink && !relay.sourceLink->subscribed && at - relay.lastReceivedAt > connectTimeout) {
+        closeLink(node, LinkPtr(relay.sourceLink), "connect_timeout");
         return;
     }
     const Utils::Duration interval
--- a/src/libs/edge/relaysubscriber.h
+++ b/src/libs/edge/relaysubscriber.h
@@ -19,8 +19,11 @@
 /// Starts reading the topics of the store after \a delay unless this VM has subscribed to a source by then.
 void scheduleStoreReading(Node& node, Utils::Duration delay);
 
-/// Handles the loss of the link to the source: looks for another source, or reads the store.
-void handleSourceDisconnected(Node& node);
+/// Handles the loss of \a link to the source: looks for another source, or reads the store.
+void handleSourceDisconnected(Node& node, const RelayLink& link);
+
+/// Connects to a VM to subscribe to it; \a vm is empty unless it is known to be the leader.
+void connectTo(Node& node, const Utils::VmId& vm, const Routing::Endpoint& endpoint);
 
 /// Ends the subscription and reads the store. With a remote store, looks for another source first.
 void fallBackToStore(Node& node);
--- a/src/libs/edge/topicfollower.h
+++ b/src/libs/edge/topicfollower.h
@@ -47,6 +47,8 @@
     Utils::Instant lastResponseAt {};
     /// The topic is not being read.
     bool paused = false;
+    /// A read has failed, and the next one waits for a successful read of another topic.
+    bool waitsForOtherTopic = false;
     /// Only the newest record of each key matters, so that a resumed reader can skip the records in between.
     bool newestOnly = false;
     /// The next read is that of a snapshot.
--- a/src/libs/edge/topicfollowing.cpp
+++ b/src/libs/edge/topicfollowing.cpp
@@ -1,5 +1,6 @@
 #include <edge/clock.h>
 #include <edge/topicfollowing.h>
+#include <edge/relaytree.h>
 #include <edge/storecalls.h>
 #include <edge/storeera.h>
 #include <logging/log.h>
@@ -9,6 +10,8 @@
 #include <boost/leaf.hpp>
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace Edge {
 
@@ -27,8 +30,25 @@
 /// Delay of the read after one whose response shows that the store has returned from an older copy.
 constexpr Utils::Duration returnedStoreReadDelay = std::chrono::milliseconds(10);
 
+/// Interval of the reads of a topic while another one is read to see whether the store responds again.
+constexpr Utils::Duration waitingTopicInterval = std::chrono::seconds(5);
+/// Limit of the factor by which the timeout of a snapshot grows with each failure.
+constexpr unsigned maxSnapshotTimeoutFactor = 4;
+
 void startNextRead(Node& node, TopicFollower& follower);
 
+std::array<TopicFollower*, 4> allFollowers(Node& node)
+{
+    TopicFollowers& followers = node.topicFollowers;
+    return { &followers.leader, &followers.reports, &followers.configurations, &followers.assignments };
+}
+
+/// Whether \a follower is read again and again until the store responds.
+bool isProbing(const TopicFollower& follower)
+{
+    return follower.consecutiveFailures > 0 && !follower.paused && !follower.waitsForOtherTopic;
+}
+
 /// Whether the next position of \a follower is of a former era: its offset is that of another record now, or
 /// of none.
 bool isFormerPosition(const Node& node, const TopicFollower& follower)
@@ -61,8 +81,28 @@
         scheduleNextRead(node, follower, returnedStoreReadDelay);
         return;
     }
-    scheduleNextRead(node, follower,
-        std::min(minRetryInterval * std::min(follower.consecutiveFailures, 8U), maxRetryInterval));
+    const std::array<TopicFollower*, 4> followers = allFollowers(node);
+    follower.waitsForOtherTopic = outcome != StoreOutcome::Malformed
+        && std::any_of(followers.begin(), followers.end(),
+            [&follower](const TopicFollower* other) { return other != &follower && isProbing(*other); });
+    if (follower.waitsForOtherTopic) {
+        scheduleNextRead(node, follower, waitingTopicInterval);
+        return;
+    }
+    const Utils::Duration usual
+        = std::min(minRetryInterval * std::min(follower.consecutiveFailures, 8U), maxRetryInterval);
+    scheduleNextRead(node, follower, Relay::storeRetryInterval(searchSituation(node), usual));
+}
+
+/// Reads the topics again that wait for a successful read of another one.
+void readWaitingTopics(Node& node)
+{
+    for (TopicFollower* const follower : allFollowers(node)) {
+        if (!std::exchange(follower->waitsForOtherTopic, false) || follower->paused || follower->callId != 0)
+            continue;
+        cancelTimer(follower->timer);
+        startNextRead(node, *follower);
+    }
 }
 
 void recordReadSuccess(Node& node, TopicFollower& follower)
@@ -74,7 +114,9 @@
         { { "dependency", "store" }, { "topic", follower.topic },
             { "failures", follower.consecutiveFailures } });
     follower.consecutiveFailures = 0;
+    follower.waitsForOtherTopic = false;
     Routing::recordStoreOutage(node.clusterView.directory, now());
+    readWaitingTopics(node);
 }
 
 /// Runs \a decode. On failure, counts the error, schedules a retry and returns nothing.
@@ -124,14 +166,21 @@
     scheduleNextRead(node, follower, follower.readInterval);
 }
 
+/// Grows with each failure, as a snapshot that comes too late over a saturated link would be read again and
+/// keep the link saturated.
+Utils::Duration snapshotTimeout(const TopicFollower& follower)
+{
+    return responseTimeout * std::clamp(follower.consecutiveFailures, 1U, maxSnapshotTimeoutFactor)
+        + follower.extraSnapshotTimeout;
+}
+
 void readSnapshot(Node& node, TopicFollower& follower)
 {
     const std::string after
         = follower.snapshotRecords.empty() ? std::string() : follower.snapshotRecords.back().key;
     follower.callId = callStore(node,
         Platform::makeNewestRecordsRequest(node.settings.storeEndpoint, follower.topic, after),
-        responseTimeout + follower.extraSnapshotTimeout,
-        [&node, &follower](StoreOutcome outcome, const std::string& body) {
+        snapshotTimeout(follower), [&node, &follower](StoreOutcome outcome, const std::string& body) {
             follower.callId = 0;
             if (outcome != StoreOutcome::Done) {
                 follower.snapshotRecords.clear();
@@ -247,6 +296,29 @@
     follower.snapshotRecords.clear();
     follower.snapshotEnd.reset();
     follower.paused = true;
+    follower.waitsForOtherTopic = false;
+    const std::array<TopicFollower*, 4> followers = Internal::allFollowers(node);
+    const bool isAnyProbing = std::any_of(followers.begin(), followers.end(),
+        [](const TopicFollower* other) { return Internal::isProbing(*other); });
+    if (!isAnyProbing)
+        Internal::readWaitingTopics(node);
+}
+
+bool isStoreFailing(const Node& node)
+{
+    const TopicFollowers& followers = node.topicFollowers;
+    return std::max({ followers.leader.consecutiveFailures, followers.reports.consecutiveFailures,
+               followers.configurations.consecutiveFailures, followers.assignments.consecutiveFailures })
+        > 1;
+}
+
+void pauseFollowingAll(Node& node)
+{
+    const std::array<TopicFollower*, 4> followers = Internal::allFollowers(node);
+    for (TopicFollower* const follower : followers)
+        follower->waitsForOtherTopic = false;
+    for (TopicFollower* const follower : followers)
+        pauseFollowing(node, *follower);
 }
 
 void resumeFollowing(Node& node, TopicFollower& follower)
@@ -254,6 +326,7 @@
     if (!follower.paused)
         return;
     follower.paused = false;
+    follower.waitsForOtherTopic = false;
     follower.consecutiveFailures = 0;
     // The first read does not use a long poll, so that it soon shows whether the store responds.
     follower.lastResponseAt = {};
--- a/src/libs/edge/topicfollowing.h
+++ b/src/libs/edge/topicfollowing.h
@@ -11,6 +11,12 @@
 /// Cancels the read in flight and stops reading until resumeFollowing() is called.
 void pauseFollowing(Node& node, TopicFollower& follower);
 
+/// Pauses the reading of all topics.
+void pauseFollowingAll(Node& node);
+
+/// Whether reads of the store have failed repeatedly.
+bool isStoreFailing(const Node& node);
+
 /// Continues reading at the next offset, or with a snapshot if only the newest records matter.
 void resumeFollowing(Node& node, TopicFollower& follower);
 
--- a/src/libs/granting/grantingconstants.h
+++ b/src/libs/granting/grantingconstants.h
@@ -19,6 +19,12 @@
 /// Spreads the attempts to acquire the leader lease, so that one VM, one with a large share of a core, is
 /// usually first.
 inline constexpr Utils::Duration maxLeaseAcquisitionJitter = std::chrono::milliseconds(600);
+/// Time between two attempts of a VM to acquire the lease, for each VM of the fleet, and its limit. The store
+/// takes some hundred appends a second to one topic.
+inline constexpr Utils::Duration acquisitionIntervalPerVm = std::chrono::milliseconds(25);
+inline constexpr Utils::Duration maxAcquisitionInterval = std::chrono::milliseconds(800);
+/// How long VMs that are no candidates leave the lease to those that are, after the last record of a leader.
+inline constexpr Utils::Duration reserveAcquisitionDelay = std::chrono::seconds(8);
 /// A renewal without a response for this long means that the store is unresponsive.
 inline constexpr Utils::Duration storeResponseTimeout = std::chrono::milliseconds(450);
 
--- a/src/libs/granting/leaderrecord.h
+++ b/src/libs/granting/leaderrecord.h
@@ -4,6 +4,8 @@
 #include <utils/ids.h>
 
 #include <cstdint>
+#include <string>
+#include <vector>
 
 namespace Granting {
 
@@ -17,6 +19,10 @@
     /// The era of the store whose records show all assignments that were ever granted. Lower than the
     /// store's if the store returned from an older copy and grants of the lost time may still be in force.
     std::uint64_t settledEra = 0;
+    /// Number of VMs, as far as the leader knows it.
+    std::uint32_t vmCount = 0;
+    /// Addresses of some VMs with current records; empty in a small fleet.
+    std::vector<std::string> relays = {};
 
     bool operator==(const LeaderRecord&) const = default;
 };
--- a/src/libs/granting/leadership.cpp
+++ b/src/libs/granting/leadership.cpp
@@ -63,6 +63,17 @@
     return Internal::isLeaseAcquisitionDue(leadership, jitter, now);
 }
 
+bool isAcquisitionDeferred(
+    const Leadership& leadership, std::size_t vmCount, bool isCandidate, Utils::Instant now)
+{
+    if (leadership.term)
+        return false;
+    const Utils::Duration interval
+        = std::min(acquisitionIntervalPerVm * static_cast<std::int64_t>(vmCount), maxAcquisitionInterval);
+    return now < leadership.lastAppendSentAt + interval
+        || (!isCandidate && now < leadership.lastRecordSeenAt + reserveAcquisitionDelay);
+}
+
 bool isStoreUnresponsive(const Leadership& leadership, Utils::Instant now)
 {
     return leadership.term
--- a/src/libs/granting/leadership.h
+++ b/src/libs/granting/leadership.h
@@ -45,6 +45,14 @@
 /// previous leader. \a jitter, from 0 to 1, differs between VMs.
 bool isAppendDue(const Leadership& leadership, double jitter, Utils::Instant now);
 
+/// Whether this VM does not try to acquire the lease yet. VMs that are no candidates leave it to those that
+/// are.
+///
+/// Load pattern: the leader of a large fleet is lost, or the store fails. If all VMs tried to acquire the
+/// lease as often as they can, their appends would exceed what the topic takes.
+bool isAcquisitionDeferred(
+    const Leadership& leadership, std::size_t vmCount, bool isCandidate, Utils::Instant now);
+
 /// Whether the store has left the leader's renewals without a response for longer than storeResponseTimeout.
 bool isStoreUnresponsive(const Leadership& leadership, Utils::Instant now);
 
--- a/src/libs/granting/recordcodec.cpp
+++ b/src/libs/granting/recordcodec.cpp
@@ -71,6 +71,10 @@
     // Absent in records of former versions.
     if (const json::value* era = object.if_contains("settled_era"))
         record.settledEra = json::value_to<std::uint64_t>(*era);
+    if (const json::value* vms = object.if_contains("vms"))
+        record.vmCount = json::value_to<std::uint32_t>(*vms);
+    if (const json::value* relays = object.if_contains("relays"))
+        record.relays = json::value_to<std::vector<std::string>>(*relays);
     return record;
 }
 
@@ -94,9 +98,12 @@
 
 std::string encodeLeader(const LeaderRecord& record)
 {
-    return json::serialize(json::object { { "vm", record.vm.value }, { "incarnation", record.incarnation },
+    json::object object { { "vm", record.vm.value }, { "incarnation", record.incarnation },
         { "address", record.loadReportEndpoint.address }, { "port", record.loadReportEndpoint.port },
-        { "settled_era", record.settledEra } });
+        { "settled_era", record.settledEra }, { "vms", record.vmCount } };
+    if (!record.relays.empty())
+        object["relays"] = json::value_from(record.relays);
+    return json::serialize(object);
 }
 
 leaf::result<LeaderRecord> decodeLeader(std::string_view text)
--- a/src/libs/platform/settingsfile.cpp
+++ b/src/libs/platform/settingsfile.cpp
@@ -89,6 +89,7 @@
     BOOST_LEAF_ASSIGN(settings.storeEndpoint, Internal::readEndpoint(table, "platform.platform.address"));
     settings.firstInternalPort = table.at_path("network.internal_ports[0]").value_or(std::uint16_t(0));
     settings.lastInternalPort = table.at_path("network.internal_ports[1]").value_or(std::uint16_t(0));
+    settings.isFirstStart = table.at_path("self.bootstrap").value_or(false);
     settings.cpuShare = table.at_path("self.limits.cpu_share").value_or(settings.cpuShare);
     settings.memoryMegabytes = table.at_path("self.limits.memory_mb").value_or(settings.memoryMegabytes);
     settings.maxFileDescriptors = table.at_path("self.limits.max_fds").value_or(settings.maxFileDescriptors);
--- a/src/libs/relay/framecodec.cpp
+++ b/src/libs/relay/framecodec.cpp
@@ -20,6 +20,7 @@
 
 using Builder = flatbuffers::FlatBufferBuilder;
 using Bytes = flatbuffers::Vector<std::uint8_t>;
+using Strings = flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
 
 flatbuffers::Offset<Bytes> packBytes(Builder& builder, std::string_view text)
 {
@@ -77,11 +78,18 @@
     return limits;
 }
 
+/// Returns null for an empty text, so that its field is absent.
+const char* optionalText(const std::string& text) { return text.empty() ? nullptr : text.c_str(); }
+
+std::string unpackOptionalText(const flatbuffers::String* packed) { return packed ? packed->str() : ""; }
+
 flatbuffers::Offset<void> packBody(Builder& builder, const Subscription& subscription)
 {
     return Generated::CreateSubscriptionDirect(builder, subscription.vm.value.c_str(),
         subscription.configurations, subscription.reports, subscription.assignments,
-        subscription.storeIsLocal)
+        subscription.storeIsLocal, optionalText(subscription.zone.value), subscription.followsRedirects,
+        subscription.isRedirected, subscription.subscribers, subscription.relayFailed,
+        subscription.cpuPercent)
         .Union();
 }
 
@@ -96,7 +104,7 @@
     const std::vector<flatbuffers::Offset<Generated::Limit>> limits = packLimits(builder, update.limits);
     return Generated::CreateUpdateDirect(builder, update.leader.c_str(), update.leaderTopicEnd,
         update.isFresh, update.vmCount, &peers, &records, update.senderIsSource, update.reportsEnd, &members,
-        limits.empty() ? nullptr : &limits)
+        limits.empty() ? nullptr : &limits, optionalText(update.relay), update.hops)
         .Union();
 }
 
@@ -104,7 +112,10 @@
 {
     const flatbuffers::Offset<Bytes> report = packBytes(builder, loadReport.report);
     const std::vector<flatbuffers::Offset<Generated::Limit>> limits = packLimits(builder, loadReport.limits);
-    return Generated::CreateLoad(builder, report, limits.empty() ? 0 : builder.CreateVector(limits)).Union();
+    const flatbuffers::Offset<Strings> members
+        = loadReport.members ? builder.CreateVector(packStrings(builder, *loadReport.members)) : 0;
+    return Generated::CreateLoad(builder, report, limits.empty() ? 0 : builder.CreateVector(limits), members)
+        .Union();
 }
 
 flatbuffers::Offset<void> packBody(Builder& builder, const TerminationFrame& termination)
@@ -130,8 +141,7 @@
     return types.at(frame.index());
 }
 
-std::vector<std::string> unpackStrings(
-    const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>* packed)
+std::vector<std::string> unpackStrings(const Strings* packed)
 {
     std::vector<std::string> strings;
     if (!packed)
@@ -160,9 +170,36 @@
     update.peers = unpackStrings(packed.peers());
     update.members = unpackStrings(packed.members());
     update.limits = unpackLimits(packed.limits());
+    update.relay = unpackOptionalText(packed.relay());
+    update.hops = packed.hops();
     return update;
 }
 
+Subscription unpackSubscription(const Generated::Subscription& packed)
+{
+    Subscription subscription;
+    subscription.vm.value = packed.vm()->str();
+    subscription.configurations = packed.configurations();
+    subscription.reports = packed.reports();
+    subscription.assignments = packed.assignments();
+    subscription.storeIsLocal = packed.near_store();
+    subscription.zone.value = unpackOptionalText(packed.zone());
+    subscription.followsRedirects = packed.follows_redirects();
+    subscription.isRedirected = packed.redirected();
+    subscription.subscribers = packed.subscribers();
+    subscription.relayFailed = packed.relay_failed();
+    subscription.cpuPercent = packed.cpu_percent();
+    return subscription;
+}
+
+LoadFrame unpackLoad(const Generated::Load& packed)
+{
+    LoadFrame frame { unpackBytes(*packed.report()), unpackLimits(packed.limits()), std::nullopt };
+    if (packed.members())
+        frame.members = unpackStrings(packed.members());
+    return frame;
+}
+
 leaf::result<Frame> unpackCrashReports(const Generated::CrashReports& packed)
 {
     CrashReportFrame frame;
@@ -209,12 +246,11 @@
         return leaf::new_error(RelayError::Malformed);
     const Generated::Frame* frame = Generated::GetFrame(bytes.data());
     if (const Generated::Subscription* packed = frame->body_as_Subscription())
-        return Subscription { { packed->vm()->str() }, packed->configurations(), packed->reports(),
-            packed->assignments(), packed->near_store() };
+        return unpackSubscription(*packed);
     if (const Generated::Update* packed = frame->body_as_Update())
         return unpackUpdate(*packed);
     if (const Generated::Load* packed = frame->body_as_Load())
-        return LoadFrame { unpackBytes(*packed->report()), unpackLimits(packed->limits()) };
+        return unpackLoad(*packed);
     if (const Generated::Loss* packed = frame->body_as_Loss())
         return TerminationFrame { { packed->upstream()->str() }, packed->offset() };
     if (const Generated::CrashReports* packed = frame->body_as_CrashReports())
--- a/src/libs/relay/loadframe.h
+++ b/src/libs/relay/loadframe.h
@@ -2,6 +2,7 @@
 
 #include <relay/limitnotice.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,8 @@
     std::string report;
     /// Limits that the VM has learned of from upstreams since its last report.
     std::vector<LimitNotice> limits;
+    /// Addresses of the VMs that receive records through the sender; absent if they have not changed.
+    std::optional<std::vector<std::string>> members;
 
     bool operator==(const LoadFrame&) const = default;
 };
--- a/src/libs/relay/patience.cpp
+++ b/src/libs/relay/patience.cpp
@@ -20,6 +20,11 @@
     return half + half * static_cast<std::int64_t>(seed % steps) / static_cast<std::int64_t>(steps);
 }
 
+Utils::Duration staleRelayPatience(Utils::Duration changeTimeout, std::uint64_t seed)
+{
+    return staleSourcePatience(changeTimeout, seed) + sourceChangeTime;
+}
+
 Utils::Duration silentSourceTimeout(Utils::Duration changeTimeout, Utils::Duration minimum)
 {
     return minimum + Internal::spareTime(changeTimeout) / 2;
--- a/src/libs/relay/patience.h
+++ b/src/libs/relay/patience.h
@@ -19,6 +19,9 @@
 /// sourceChangeTime. \a seed, different for each VM, spreads those that leave.
 Utils::Duration staleSourcePatience(Utils::Duration changeTimeout, std::uint64_t seed);
 
+/// The same for a source that is a relay. It looks for another source itself, for all its subscribers.
+Utils::Duration staleRelayPatience(Utils::Duration changeTimeout, std::uint64_t seed);
+
 /// The time without a frame after which a source is considered unreachable. \a minimum is enough where the
 /// links are not saturated.
 Utils::Duration silentSourceTimeout(Utils::Duration changeTimeout, Utils::Duration minimum);
--- a/src/libs/relay/update.h
+++ b/src/libs/relay/update.h
@@ -32,6 +32,11 @@
     std::vector<std::string> members;
     /// Limits of upstreams that have changed since the last update.
     std::vector<LimitNotice> limits;
+    /// Address of the VM to subscribe to instead of the sender, which is not a source for the receiver; empty
+    /// in most updates.
+    std::string relay;
+    /// Number of VMs between the sender and the one that reads the store.
+    std::uint8_t hops = 0;
 
     bool operator==(const Update&) const = default;
 };
--- a/src/libs/routing/vmsettings.h
+++ b/src/libs/routing/vmsettings.h
@@ -24,6 +24,8 @@
     std::uint16_t firstInternalPort = 0;
     std::uint16_t lastInternalPort = 0;
     Endpoint storeEndpoint;
+    /// The whole system starts for the first time.
+    bool isFirstStart = false;
     /// Added to the ports of upstreams, so that a test can run a proxy for each VM in front of them.
     std::uint16_t upstreamPortOffset = 0;
     /// Fraction of a CPU core that is available to this VM.
--- a/tests/auto/relay/tst_framecodec.cpp
+++ b/tests/auto/relay/tst_framecodec.cpp
@@ -52,8 +52,26 @@
         { CrashReport::Kind::Response, 2, 7, 4, std::chrono::minutes(3), std::chrono::seconds(1) },
         { CrashReport::Kind::ConfirmedCrash, 3, 7, 4, std::chrono::seconds(9), std::chrono::seconds(8) },
         { CrashReport::Kind::Life, 4, 0, 4, std::chrono::hours(2), std::chrono::milliseconds(1) } };
-    return { Subscription { { "vm" }, 1, 2, 3, true }, update, LoadFrame { std::string("\0bytes", 6), {} },
-        LoadFrame { "report", { { { "i-1" }, 1.5, true, std::chrono::milliseconds(70) } } },
+    Update redirect;
+    redirect.relay = "10.0.0.4";
+    redirect.hops = 2;
+    Subscription subscription;
+    subscription.vm = { "vm" };
+    subscription.configurations = 1;
+    subscription.reports = 2;
+    subscription.assignments = 3;
+    subscription.storeIsLocal = true;
+    Subscription redirected = subscription;
+    redirected.zone = { "z1" };
+    redirected.followsRedirects = true;
+    redirected.isRedirected = true;
+    redirected.subscribers = 7;
+    redirected.relayFailed = true;
+    redirected.cpuPercent = 50;
+    return { subscription, redirected, update, redirect, LoadFrame { std::string("\0bytes", 6), {}, {} },
+        LoadFrame { "report", { { { "i-1" }, 1.5, true, std::chrono::milliseconds(70) } }, {} },
+        LoadFrame { "", {}, std::vector<std::string> {} },
+        LoadFrame { "", {}, std::vector<std::string> { "10.0.0.6", "10.0.0.7" } },
         TerminationFrame { { "i-3" }, 9 }, Update {}, crashes };
 }
 
