Name store readers by the leader alone, and start from neighbours while the store is away

A fallback source named its own subscribers as peers, so they took themselves for store readers and candidates for the lease. Only a leader names them now (edge.relaytree, extended; isStoreReader is the check).

--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -208,7 +208,7 @@
             return std::optional<Granting::LeaderRecord>();
         });
     Granting::recordLogRead(node.leader.leadership, newest.offset + 1, record, now());
-    if (record && node.relay.peers.empty())
+    if (record && !record->relays.empty() && !node.clusterView.directoryLoaded)
         node.relay.peers = record->relays;
 }
 
--- a/src/libs/edge/relay.cpp
+++ b/src/libs/edge/relay.cpp
@@ -73,6 +73,8 @@
     node.relay.acceptor.listen();
     // Spreads VMs that look for a source over the peers.
     node.relay.nextPeer = Utils::stableHash(node.settings.name.value);
+    node.relay.peers = node.settings.seeds;
+    std::erase(node.relay.peers, node.settings.address);
     startCrashReports(node);
     Internal::acceptSubscriber(node);
     Internal::tickRelay(node);
--- a/src/libs/edge/relaysource.cpp
+++ b/src/libs/edge/relaysource.cpp
@@ -8,6 +8,7 @@
 #include <edge/relay.h>
 #include <edge/relaysource.h>
 #include <edge/relaytree.h>
+#include <edge/topicfollowing.h>
 #include <granting/assignmentdelta.h>
 #include <granting/loadreportcodec.h>
 #include <granting/recordcodec.h>
@@ -72,6 +73,14 @@
     return isLeader(node) || (readsStore && hasFreshRead(node));
 }
 
+/// Whether no VM is known to have newer records, as neither a source nor the store responds. A VM that starts
+/// meanwhile gets them, but is told that they are not fresh.
+bool hasNewestRecords(const Node& node)
+{
+    return !node.relay.isSubscribed && node.clusterView.routeTable && node.clusterView.directoryLoaded
+        && isStoreFailing(node);
+}
+
 /// First offset of the reports topic that has not been read. Returns 0 while the removal of a missing
 /// upstream waits for the end of its grace period, as it has not been relayed yet.
 Utils::Offset relayedReportsEnd(const Node& node)
@@ -143,7 +152,8 @@
     Relay::Update update = makeUpdate(node, std::move(records));
     update.limits = takeNoticesForSubscribers(node);
     if (membersChanged) {
-        update.peers = isReceiving(node) ? node.relay.peers : subscriberAddresses(node);
+        // VMs that a fallback source named would read the store, and try to become the leader, too.
+        update.peers = isLeader(node) ? subscriberAddresses(node) : node.relay.peers;
         update.members = std::move(members);
     }
     const RelayFrame frame = std::make_shared<const std::string>(Relay::encodeFrame(update));
@@ -177,7 +187,9 @@
 void handleSubscription(Node& node, const LinkPtr& link, const Relay::Subscription& subscription)
 {
     link->vm = subscription.vm;
-    if (!isRelaySource(node) && !(subscription.isRedirected && isRelay(node))) {
+    const bool isServed = isRelaySource(node) || (subscription.isRedirected && isRelay(node))
+        || (subscription.reports == 0 && hasNewestRecords(node));
+    if (!isServed) {
         nameLeaderTo(node, link);
         return;
     }
--- a/src/libs/edge/relaysubscriber.cpp
+++ b/src/libs/edge/relaysubscriber.cpp
@@ -40,6 +40,9 @@
 constexpr Utils::Duration connectInterval = std::chrono::milliseconds(600);
 constexpr Utils::Duration startupConnectInterval = std::chrono::milliseconds(50);
 
+/// A VM that starts asks the seeds if the store has not responded by then.
+constexpr Utils::Duration usualStoreLatency = std::chrono::milliseconds(300);
+
 /// A connection to a VM of another region takes 40 ms, unless the link is saturated.
 constexpr Utils::Duration connectTimeout = std::chrono::milliseconds(700);
 
@@ -135,6 +138,13 @@
     return !node.relay.isSubscribed && isStoreFailing(node);
 }
 
+/// Whether the store has not responded since this VM started.
+bool isStartingWithoutStore(const Node& node, Utils::Instant at)
+{
+    return !node.clusterView.directoryLoaded && node.topicFollowers.leader.lastResponseAt == Utils::Instant {}
+    && at - node.startedAt > usualStoreLatency;
+}
+
 /// How long to look for a relay source among the peers before the store is read.
 Utils::Duration searchTimeout(const Node& node)
 {
@@ -240,9 +250,13 @@
     TopicFollower& reports = node.topicFollowers.reports;
     if (reports.nextOffset)
         reports.nextOffset = std::max(*reports.nextOffset, update.reportsEnd);
-    if (!link.requestedAllReports || !update.isFresh || node.clusterView.directoryLoaded
+    // While the store does not respond, what other VMs know is the newest that there is.
+    const bool isNewest = update.isFresh || isStartingWithoutStore(node, now());
+    if (!link.requestedAllReports || !isNewest || node.clusterView.directoryLoaded
         || !node.clusterView.routeTable)
         return;
+    Logging::write(Logging::Level::Info, "started_from_peer",
+        { { "vm", link.vm.value }, { "fresh", update.isFresh }, { "reports_end", update.reportsEnd } });
     reports.nextOffset = update.reportsEnd;
     node.clusterView.directoryLoaded = true;
 }
@@ -411,8 +425,11 @@
     if (relay.sourceLink || isLeader || at - relay.lastConnectAttemptAt <= interval)
         return;
     // Every second attempt goes to a peer while neither the leader nor the store can be reached.
-    const bool usePeer = std::exchange(
-        relay.connectToPeerNext, !relay.connectToPeerNext && isDisconnectedFromLeaderAndStore(node));
+    const bool isAlone = isDisconnectedFromLeaderAndStore(node) || isStartingWithoutStore(node, at);
+    if (isAlone && !otherVmLeads && at - relay.lastConnectAttemptAt <= connectInterval)
+        return;
+    const bool usePeer = std::exchange(relay.connectToPeerNext, !relay.connectToPeerNext && isAlone)
+        || (isAlone && !otherVmLeads);
     if (usePeer && !relay.peers.empty())
         connectToNextPeer(node);
     else if (otherVmLeads)
--- a/src/libs/platform/settingsfile.cpp
+++ b/src/libs/platform/settingsfile.cpp
@@ -31,6 +31,21 @@
     return parseEndpoint(text);
 }
 
+/// Reads the addresses of the seeds. Their ports are not those of the relay.
+leaf::result<std::vector<std::string>> readSeeds(const toml::table& table)
+{
+    std::vector<std::string> seeds;
+    const toml::array* const entries = table.at_path("network.seeds").as_array();
+    for (std::size_t index = 0; entries && index < entries->size(); ++index) {
+        const std::optional<std::string> text = entries->get(index)->value<std::string>();
+        if (!text)
+            return leaf::new_error(DecodeError::WrongType, FieldName { "network.seeds" });
+        BOOST_LEAF_AUTO(endpoint, parseEndpoint(*text));
+        seeds.push_back(endpoint.address);
+    }
+    return seeds;
+}
+
 leaf::result<void> readOptionalDuration(
     const toml::table& table, std::string_view path, Utils::Duration& duration)
 {
@@ -89,6 +104,7 @@
     BOOST_LEAF_ASSIGN(settings.storeEndpoint, Internal::readEndpoint(table, "platform.platform.address"));
     settings.firstInternalPort = table.at_path("network.internal_ports[0]").value_or(std::uint16_t(0));
     settings.lastInternalPort = table.at_path("network.internal_ports[1]").value_or(std::uint16_t(0));
+    BOOST_LEAF_ASSIGN(settings.seeds, Internal::readSeeds(table));
     settings.isFirstStart = table.at_path("self.bootstrap").value_or(false);
     settings.cpuShare = table.at_path("self.limits.cpu_share").value_or(settings.cpuShare);
     settings.memoryMegabytes = table.at_path("self.limits.memory_mb").value_or(settings.memoryMegabytes);
--- a/src/libs/relay/sourcesearch.cpp
+++ b/src/libs/relay/sourcesearch.cpp
@@ -16,8 +16,8 @@
 constexpr Utils::Duration startupSearchTimeout = std::chrono::milliseconds(1500);
 constexpr Utils::Duration maxStartupJitter = std::chrono::milliseconds(1500);
 
-/// Time between two reads of the store that fails, of a VM that leaves it to others to notice its return. They
-/// become sources a few hundred milliseconds after it.
+/// Time between two reads of the store that fails, of a VM that leaves it to others to notice its return.
+/// They become sources a few hundred milliseconds after it.
 constexpr Utils::Duration reserveRetryInterval = std::chrono::milliseconds(2500);
 
 /// A VM needs some 300 ms to read the topics and to become the leader.
--- a/src/libs/routing/vmsettings.h
+++ b/src/libs/routing/vmsettings.h
@@ -6,6 +6,8 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
+#include <vector>
 
 namespace Routing {
 
@@ -24,6 +26,8 @@
     std::uint16_t firstInternalPort = 0;
     std::uint16_t lastInternalPort = 0;
     Endpoint storeEndpoint;
+    /// Addresses of a few VMs, which may be gone or not have started.
+    std::vector<std::string> seeds;
     /// The whole system starts for the first time.
     bool isFirstStart = false;
     /// Added to the ports of upstreams, so that a test can run a proxy for each VM in front of them.
--- a/tests/auto/edge/testenvironment.cpp
+++ b/tests/auto/edge/testenvironment.cpp
@@ -3,6 +3,7 @@
 #include <logging/log.h>
 #include <platform/headers.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 #include <unistd.h>
@@ -103,12 +104,14 @@
             + makeRule("key", "safe", "keyed") + extra + configurationTail);
 }
 
-Edge::Service& startVm(TestEnvironment& environment, bool storeIsRemote)
+Edge::Service& startVm(TestEnvironment& environment, bool storeIsRemote, bool hasSeeds)
 {
     Routing::VmSettings settings;
     settings.address = uniqueLoopbackAddress(100 + static_cast<unsigned>(environment.vms.size()));
     settings.name = { "vm-" + settings.address };
     settings.zone = { "z1" };
+    for (std::size_t vm = 0; hasSeeds && vm < std::min<std::size_t>(environment.vms.size(), 3); ++vm)
+        settings.seeds.push_back(environment.vms[vm]->node.settings.address);
     settings.region = { "r1" };
     settings.regionByZone = { { { "z1" }, { "r1" } } };
     settings.callerEndpoint = { settings.address, callersPort };
--- a/tests/auto/edge/testenvironment.h
+++ b/tests/auto/edge/testenvironment.h
@@ -64,7 +64,8 @@
 void publishConfiguration(TestEnvironment& environment, unsigned version, const std::string& extraRule = "");
 
 /// Starts a VM in the store's region, or in another one if \a storeIsRemote.
-Edge::Service& startVm(TestEnvironment& environment, bool storeIsRemote = false);
+/// The first VMs are its seeds if \a hasSeeds.
+Edge::Service& startVm(TestEnvironment& environment, bool storeIsRemote = false, bool hasSeeds = false);
 
 /// Makes the VM at \a index appear terminated to the others.
 void killVm(TestEnvironment& environment, std::size_t index);
--- a/tests/auto/edge/tst_relay.cpp
+++ b/tests/auto/edge/tst_relay.cpp
@@ -383,6 +383,54 @@
     CHECK_FALSE(holdsAnyKey(*environment.vms[3], "k-1"));
 }
 
+TEST_CASE("A VM that starts while the store is away serves with what its neighbours know", "[relay]")
+{
+    // Guards against 5 to 7 s without configuration at VMs that start in an outage of the store.
+    struct Row {
+        const char* name;
+        bool storeIsSilent;
+        bool leaderIsLost;
+    };
+    const Row row = GENERATE(values<Row>({
+        { "the store refuses, the leader lives", false, false },
+        { "the store is silent, the leader lives", true, false },
+        { "the store refuses, the leader is gone", false, true },
+        { "the store is silent, the leader is gone", true, true },
+    }));
+    INFO(row.name);
+    TestEnvironment environment;
+    TestUpstream& gone = addUpstream(environment, "i-1", "plain");
+    addUpstream(environment, "i-2", "plain");
+    addUpstream(environment, "k-1", "keyed", true);
+    startThreeVms(environment);
+    removeUpstreamEntry(environment, gone);
+    REQUIRE(runUntil(environment, [&] {
+        return holdsAnyKey(*environment.vms[2], "k-1")
+            && !Routing::findUsable(environment.vms[2]->node.clusterView.directory, { "i-1" });
+    }));
+    environment.store.faults.outage = !row.storeIsSilent;
+    environment.store.faults.silent = row.storeIsSilent;
+    runFor(environment, 3000ms);
+    if (row.leaderIsLost)
+        killVm(environment, 0);
+    runFor(environment, 4000ms);
+    Edge::Service& started = startVm(environment, false, true);
+    started.node.startedAt = Edge::now();
+    CHECK(runUntil(
+        environment, [&] { return started.node.clusterView.directoryLoaded; }, 1500ms));
+    CHECK(sendRequest(environment, started, {}).status == 200);
+    CHECK(Routing::findUsable(started.node.clusterView.directory, { "i-2" }));
+    CHECK_FALSE(Routing::findUsable(started.node.clusterView.directory, { "i-1" }));
+    CHECK(holdsAnyKey(started, "k-1"));
+    CHECK_FALSE(isLeader(started));
+    // It gets changes once the store is back.
+    environment.store.faults = {};
+    publishConfiguration(environment, 2);
+    CHECK(runUntil(
+        environment, [&] { return started.node.clusterView.routeTable->configuration.version == 2; },
+        4000ms));
+}
+
 TEST_CASE("The known number of VMs does not fall when the leader changes", "[relay]")
 {
     // Guards against VMs that each take a larger share of a limit of the whole system.
--- a/tests/auto/edge/tst_relaytree.cpp
+++ b/tests/auto/edge/tst_relaytree.cpp
@@ -80,9 +80,8 @@
         environment, [&] { return !isUsable(environment, leaf, "k-1"); }, 800ms));
     // The leader alone reads the store, two topics in 700 ms each and the reports when they change.
     CHECK(environment.store.calls["/log-read"] - before < 14);
-    const auto assignmentOf = [&](std::size_t vm) {
-        return nodeOf(environment, vm).clusterView.assignments[{ "keyed" }];
-    };
+    const auto assignmentOf
+        = [&](std::size_t vm) { return nodeOf(environment, vm).clusterView.assignments[{ "keyed" }]; };
     CHECK(runUntil(
         environment,
         [&] {
@@ -148,8 +147,8 @@
     CHECK(runUntil(
         environment, [&] { return versionOf(environment, leaf) == 2; }, row.limit));
     // The leader serves it; it has not read a topic from the store.
-    CHECK(runUntil(environment,
-        [&] { return nodeOf(environment, leaf).relay.sourceKind == Edge::SourceKind::Leader; }));
+    CHECK(runUntil(
+        environment, [&] { return nodeOf(environment, leaf).relay.sourceKind == Edge::SourceKind::Leader; }));
     CHECK(environment.store.calls["/log-newest"] == before);
 }
 
@@ -166,6 +165,12 @@
     publishConfiguration(environment, 2);
     CHECK(runUntil(
         environment, [&] { return versionOf(environment, leaf) == 2; }, 1000ms));
+    // Only the VMs that a leader names read the store and try to become the leader.
+    const std::vector<std::string> readers { nodeOf(environment, relay).settings.address };
+    nodeOf(environment, relay).relay.subscribersChanged = true;
+    runFor(environment, 700ms);
+    CHECK(nodeOf(environment, leaf).relay.peers == readers);
+    CHECK_FALSE(Edge::Internal::isStoreReader(nodeOf(environment, leaf)));
     CHECK(runUntil(
         environment, [&] { return nodeOf(environment, relay).leader.leadership.term.has_value(); }, 4000ms));
     publishConfiguration(environment, 3);
--- a/tests/auto/platform/tst_settingsfile.cpp
+++ b/tests/auto/platform/tst_settingsfile.cpp
@@ -23,6 +23,7 @@
 max_fds = 4100
 [network]
 internal_ports = [7620, 7635]
+seeds = ["10.1.0.15:8649", "10.2.0.42:8649"]
 [network.listen]
 front = "10.1.0.15:8641"
 ready = "10.1.0.15:8640"
@@ -54,6 +55,7 @@
     CHECK(settings.lastInternalPort == 7635);
     CHECK(settings.memoryMegabytes == 260);
     CHECK(settings.isFirstStart);
+    CHECK(settings.seeds == std::vector<std::string> { "10.1.0.15", "10.2.0.42" });
     CHECK(settings.operatingLimits.terminationGracePeriod == 6s);
     CHECK(settings.operatingLimits.drainTimeout == 2500ms);
     CHECK(settings.operatingLimits.retryRatio == 0.25);
@@ -72,6 +74,8 @@
         { "no name", "node_name", "other_name", DecodeError::MissingField },
         { "no store", "[platform.platform]", "[platform.other]", DecodeError::MissingField },
         { "address without port", "10.1.0.15:8641", "10.1.0.15", DecodeError::OutOfRange },
+        { "seed without port", "10.2.0.42:8649", "10.2.0.42", DecodeError::OutOfRange },
+        { "seed that is no text", "\"10.2.0.42:8649\"", "7", DecodeError::WrongType },
         { "time without unit", "\"6s\"", "\"6\"", DecodeError::OutOfRange },
         { "no TOML", "[self]", "[self", DecodeError::Unreadable },
     }));
--- a/tests/auto/relay/tst_sourcesearch.cpp
+++ b/tests/auto/relay/tst_sourcesearch.cpp
@@ -14,7 +14,8 @@
         std::chrono::milliseconds latest;
         std::chrono::milliseconds latestAtStart;
     };
-    // With 2 s until a lost source is noticed, reads of the store begin within the 4 s that large fleets have.
+    // With 2 s until a lost source is noticed, reads of the store begin within the 4 s that large fleets
+    // have.
     const Row row = GENERATE(values<Row>({
         { "local store", { false, false, true, 1 }, 0ms, 0ms, 0ms },
         { "remote store", { false, true, false, 1 }, 600ms, 600ms, 3000ms },
