--- a/src/libs/edge/relaytree.cpp
+++ b/src/libs/edge/relaytree.cpp
@@ -63,7 +63,7 @@
             link->cpuPercent });
         candidateLinks.push_back(link);
     }
-    const std::optional<std::string> relay
+    std::optional<std::string> relay
         = Relay::chooseRelay(candidates, subscription.zone, node.settings.regionByZone);
     for (std::size_t index = 0; relay && index < candidates.size(); ++index)
         candidateLinks[index]->redirects += candidates[index].address == *relay ? 1 : 0;
