--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""LOST: request bodies that are being received are not limited, so uploads within the limits end the process."""
+"""OWNER: all VMs are killed and the store returns from a copy without a leader's record."""
 
 import asyncio
 import os
@@ -6,86 +6,94 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
-from standins import Connection, new_request_id, run_case
+from standins import Connection, Server, new_request_id, now, run_case
 
-UPLOAD_BYTES = 60_000_000  # The configuration's body_bytes is 67,108,864.
-CHUNK_BYTES = 1_000_000
-UPLOAD_SECONDS = 3.0
-USUAL_UPLOADS = 3
-BURST_FACTOR = 2
-KEPT_CONNECTIONS = 6
+KEY = 10000
+BUSY_KEY = 20000
+OVERLAP = 0.5
 
 
 async def scenario(deployment, trouble):
     await deployment.start_store()
-    deployment.configure(1, [deployment.rule("r-list", "safe", "/list/", {"service": "desk"}),
-                             deployment.rule("r-book", "unsafe", "/book/", {"service": "archive"})],
-                         [deployment.cluster("desk"), deployment.cluster("archive")])
-    for zone in "abab":
-        await deployment.add_server("desk", zone, work=0.5)
-        await deployment.add_server("archive", zone, work=0.2)
-    await deployment.start_vms(2)
-    vm = deployment.vms[0]
-    peak = 0.0
-    unanswered = 0
+    deployment.configure(1, [deployment.rule("r-mark", "safe", "/mark/", {"service": "ledger"})],
+                         [deployment.cluster("ledger", sharded=True)])
 
-    async def limit_memory():
-        """The platform: a process that exceeds memory_mb is killed."""
-        nonlocal peak
-        while vm.is_running():
-            used = vm.memory_megabytes()
-            peak = max(peak, used)
-            if used > vm.memory_mb:
-                deployment.record.write(f"platform: vm 0 uses {used:.0f} MB of {vm.memory_mb}")
-                vm.send(signal.SIGKILL)
-                await vm.process.wait()
-                return
-            await asyncio.sleep(0.01)
+    async def add_ledger(zone):
+        server = Server(deployment.record, deployment.store,
+                        f"{deployment.subnet}.{20 + len(deployment.servers)}", "ledger", zone, work=0.03, keyed=True)
+        await server.start()
+        deployment.servers.append(server)
 
-    async def upload():
-        connection = await Connection(deployment.record, vm).open()
-        request = new_request_id()
-        connection.send("POST", deployment.host, "/book/scan", request, 8000, bytes(0),
-                        declared_bytes=UPLOAD_BYTES)
+    for zone in "aba":
+        await add_ledger(zone)
+    old = deployment.store.copy()
+    copied_at = now()
+
+    def holders():
+        return [server for server in deployment.servers if server.holds_key(KEY)]
+
+    async def ask(vm):
         try:
-            for _ in range(UPLOAD_BYTES // CHUNK_BYTES):
-                connection.writer.write(bytes(CHUNK_BYTES))
-                await connection.writer.drain()
-                await asyncio.sleep(UPLOAD_SECONDS / (UPLOAD_BYTES // CHUNK_BYTES))
+            connection = await Connection(deployment.record, vm).open()
         except OSError:
-            pass
-        await connection.answer(request, 8)
+            return
+        request = new_request_id()
+        connection.send("GET", deployment.host, "/mark/1", request, 2000, extra=[("X-Shard-Key", BUSY_KEY)])
+        await connection.answer(request, 3)
         connection.close()
 
     async def keep_asking():
-        """A client with a kept connection: one request after the other."""
-        nonlocal unanswered
-        connection = await Connection(deployment.record, vm).open()
-        while not done.is_set():
-            request = new_request_id()
-            connection.send("GET", deployment.host, "/list/1", request, 5000)
-            answer = await connection.answer(request, 5)
-            if answer is not None and answer.status == 503:
-                await asyncio.sleep(float(answer.fields.get("retry-after", "0.5")))
-            if answer is None:
-                was_run = any(request in server.runs for server in deployment.servers)
-                unanswered += was_run
-                return
-        connection.close()
+        while True:
+            await asyncio.gather(*(ask(vm) for vm in deployment.vms))
+            await asyncio.sleep(0.05)
+
+    longest = 0.0
+
+    async def watch():
+        nonlocal longest
+        since = None
+        while True:
+            current = holders()
+            if len(current) > 1:
+                since = since or now()
+                if now() - since > OVERLAP >= longest:
+                    deployment.record.write(f"two servers hold key {KEY}: {[server.id for server in current]}")
+                longest = max(longest, now() - since)
+            else:
+                since = None
+            await asyncio.sleep(0.01)
 
-    done = asyncio.Event()
-    watcher = asyncio.ensure_future(limit_memory())
-    askers = [asyncio.ensure_future(keep_asking()) for _ in range(KEPT_CONNECTIONS)]
-    await asyncio.sleep(4)
-    uploads = USUAL_UPLOADS * (BURST_FACTOR if trouble else 1)
-    deployment.record.write(f"{uploads} clients upload at once")
-    await asyncio.gather(*(upload() for _ in range(uploads)))
-    done.set()
-    await asyncio.gather(*askers)
+    await deployment.start_vms(2, settle=0)
+    watcher = asyncio.ensure_future(watch())
+    while not holders():
+        await asyncio.sleep(0.02)
+    asker = asyncio.ensure_future(keep_asking())
+    first = None
+    end = now() + 15
+    while now() < end:
+        current = holders()
+        first = first or (current[0].id if current else None)
+        if current and current[0].id != first:
+            break
+        await asyncio.sleep(0.02)
+    asker.cancel()
+    deployment.record.write(f"key {KEY} was at {first} and is at {[server.id for server in holders()]}")
+    for vm in deployment.vms:
+        vm.send(signal.SIGKILL)
+        await vm.process.wait()
+    if trouble:
+        deployment.store.is_away = True
+        await asyncio.sleep(0.1)
+        deployment.store.return_from(old)
+        deployment.record.write(f"the store returns from a copy that is {now() - copied_at:.1f} s old")
+        for server in deployment.servers:
+            server.register()
+    for vm in deployment.vms:
+        await vm.start()
+    await asyncio.sleep(14)
     watcher.cancel()
-    deployment.record.write(f"peak of memory {peak:.0f} MB; {unanswered} requests on kept connections reached a"
-                            " server and their connections ended without an answer")
-    return unanswered > 3
+    deployment.record.write(f"the longest time for which two servers held key {KEY}: {longest:.3f} s")
+    return longest > OVERLAP
 
 
 run_case(os.path.dirname(os.path.abspath(__file__)), scenario)
--- a/review/standins.py
+++ b/review/standins.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import os
 import random
@@ -137,6 +138,20 @@
     def __init__(self, address):
         super().__init__(address)
         self.topics = {}
+        self.era = 1
+        self.is_away = False
+
+    def copy(self):
+        """A copy of what the store holds now."""
+        return copy.deepcopy({name: (topic.records, topic.newest) for name, topic in self.topics.items()})
+
+    def return_from(self, old):
+        """Comes back from a copy: what was written since is gone, and the era rises."""
+        self.topics = {}
+        for name, (records, newest) in old.items():
+            self.topic(name).records, self.topic(name).newest = records, newest
+        self.era += 1
+        self.is_away = False
 
     def topic(self, name):
         return self.topics.setdefault(name, Topic())
@@ -167,6 +182,9 @@
         path, query = parse_query(target)
         topic = self.topic(query.get("topic", ""))
         await asyncio.sleep(0.004)
+        if self.is_away:
+            return None
+        topic = self.topic(query.get("topic", ""))
         if path == "/log-append":
             if "as_of" in query and int(query["as_of"]) != len(topic.records):
                 return self.reply(412, {"end": len(topic.records)})
@@ -180,14 +198,18 @@
         if path == "/log-read":
             start = int(query["from"])
             wait = int(query.get("wait_ms", "0")) / 1000
+            if start > len(topic.records):
+                return self.reply(410, {"first": 0})
             if start >= len(topic.records) and wait > 0:
                 waiter = asyncio.get_running_loop().create_future()
                 topic.waiters.append(waiter)
                 await asyncio.wait([waiter], timeout=wait)
+                if self.is_away or self.topic(query["topic"]) is not topic:
+                    return None
             data = struct.pack(">QQ", len(topic.records), 0)
             for record in topic.records[start:]:
                 data += struct.pack(">I", len(record)) + record
-            return message("HTTP/1.1 200 OK", [("Content-Length", len(data))], data)
+            return message("HTTP/1.1 200 OK", [("Store-Era", self.era), ("Content-Length", len(data))], data)
         if path == "/log-newest":
             after = query.get("after", "")
             keys = sorted(key for key in topic.newest if key > after)
@@ -196,10 +218,9 @@
             return self.reply(200, {"items": items, "more": len(keys) > 500, "end": len(topic.records)})
         return self.reply(404, {})
 
-    @staticmethod
-    def reply(status, value):
+    def reply(self, status, value):
         data = json.dumps(value).encode()
-        return message(f"HTTP/1.1 {status} Any", [("Content-Type", "application/json"),
+        return message(f"HTTP/1.1 {status} Any", [("Content-Type", "application/json"), ("Store-Era", self.era),
                                                   ("Content-Length", len(data))], data)
 
 
@@ -366,7 +387,7 @@
 zone = "{zone}"
 region = "west"
 loss_counts = false
-bootstrap = true
+bootstrap = {bootstrap}
 [self.limits]
 cpu_share = 0.2
 cores = 1
@@ -448,13 +469,15 @@
         self.log = os.path.join(folder, f"vm-{index}.log")
         self.settings = os.path.join(folder, f"vm-{index}.toml")
         self.process = None
-        with open(self.settings, "w", encoding="utf-8") as file:
-            file.write(SETTINGS.format(
-                zone=zone, index=index, ip=ip, memory_mb=memory_mb, store=store,
-                seeds=",".join(f'"{seed}:{ports["control"]}"' for seed in seeds),
-                internal_end=ports["internal"] + 15, **ports))
+        self.values = dict(
+            zone=zone, index=index, ip=ip, memory_mb=memory_mb, store=store,
+            seeds=",".join(f'"{seed}:{ports["control"]}"' for seed in seeds),
+            internal_end=ports["internal"] + 15, **ports)
 
     async def start(self):
+        is_first_start = self.process is None
+        with open(self.settings, "w", encoding="utf-8") as file:
+            file.write(SETTINGS.format(bootstrap=str(is_first_start).lower(), **self.values))
         environment = {"CROCUSFERRY_SETTINGS": self.settings, "PATH": os.environ.get("PATH", "")}
         command = deployed_command()
         with open(self.log, "ab") as log:
@@ -617,7 +640,7 @@
             cluster.update({"sharded": True, "warm": "2s", "grants": "call"})
         return cluster
 
-    async def start_vms(self, count, **options):
+    async def start_vms(self, count, settle=3, **options):
         ips = [f"{self.subnet}.{100 + index}" for index in range(count)]
         ports = free_ports(ips[0])
         for index, ip in enumerate(ips):
@@ -629,7 +652,7 @@
         while now() < end:
             if all([await vm.is_ready() for vm in self.vms]):
                 self.record.write("all vms are ready")
-                await asyncio.sleep(3)
+                await asyncio.sleep(settle)
                 return
             await asyncio.sleep(0.2)
         raise RuntimeError("the VMs did not become ready")
