Log and measure what delays a source of records, and its updates

The logs could not tell a full link, a busy processor and a slow store of a leader apart, and not at all whether a subscriber was late as its update waited or for want of a source. Now: - source_backlog, once a second where it matters: delays of frames in send queues, of timers, and of the store's response to the lease record; four gauges for the same; - delay_ms with configuration_in_force and upstream_changed: how long the update was on its way, beyond the fastest of its link. Updates carry the sender's time for it (sent_ms, absent in former builds). No decision uses them. relay.transitdelay covers the clocks.

--- a/src/libs/edge/clusterviewupdates.cpp
+++ b/src/libs/edge/clusterviewupdates.cpp
@@ -66,6 +66,12 @@
     return node.relay.isSubscribed ? Utils::enumName(sourceKindNames, node.relay.sourceKind) : "store";
 }
 
+/// How long the records that are being applied were on their way from the source.
+std::int64_t sourceDelayMs(const Node& node)
+{
+    return node.relay.isApplyingUpdate ? Utils::toMilliseconds(node.relay.sourceDelay) : 0;
+}
+
 void logConfigurationInForce(const Node& node, const Routing::Configuration& configuration,
     std::uint64_t previousVersion, Utils::Offset offset)
 {
@@ -74,7 +80,8 @@
         { { "version", configuration.version }, { "former", previousVersion },
             { "former_confirmed_ms", age ? Utils::toMilliseconds(*age) : -1 }, { "offset", offset },
             { "routes", configuration.routes.size() }, { "source", configurationSource(node) },
-            { "hops", node.relay.isSubscribed ? node.relay.sourceHops + 1 : 0 } });
+            { "hops", node.relay.isSubscribed ? node.relay.sourceHops + 1 : 0 },
+            { "delay_ms", sourceDelayMs(node) } });
 }
 
 /// Puts \a configuration in force unless the same or a later version is. Returns whether it did.
@@ -117,7 +124,8 @@
     Logging::write(Logging::Level::Info, "upstream_changed",
         { { "upstream", id.value }, { "change", Utils::enumName(Routing::directoryChangeNames, change) },
             { "offset", offset }, { "sequence", known ? found->second.record.sequence : 0 },
-            { "born_ms", known ? found->second.record.startTimeMs : 0 } });
+            { "born_ms", known ? found->second.record.startTimeMs : 0 },
+            { "delay_ms", sourceDelayMs(node) } });
 }
 
 /// Marks other upstreams at the address of \a record as terminated if they started earlier.
--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -1,4 +1,5 @@
 #include <edge/assignmentrecords.h>
+#include <edge/backlog.h>
 #include <edge/clusterviewupdates.h>
 #include <edge/clock.h>
 #include <edge/topicfollowing.h>
@@ -87,7 +88,8 @@
     callStore(node,
         Platform::makeAppendRequest(
             node.settings.storeEndpoint, parameters, { Granting::encodeLeader(leadership.self) }),
-        appendTimeout, [&node](StoreOutcome outcome, const std::string& body) {
+        appendTimeout, [&node, sentAt = now()](StoreOutcome outcome, const std::string& body) {
+            recordWriteLatency(node, now() - sentAt);
             Granting::Leadership& leadership = node.leader.leadership;
             if (outcome != StoreOutcome::Done) {
                 resumeFollowing(node, node.topicFollowers.leader);
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -1,3 +1,4 @@
+#include <edge/backlog.h>
 #include <edge/clock.h>
 #include <edge/configurationage.h>
 #include <edge/limitkeeping.h>
@@ -35,6 +36,17 @@
     writeSingleSample(text, "crocus_leading", "gauge", "1 while this VM grants keys", isLeading ? 1 : 0);
     writeSingleSample(text, "crocus_relied_on_leader", "gauge", "1 while the leader passes on what is new",
         node.relay.isSubscribed ? 1 : 0);
+    writeSingleSample(text, "crocus_source_delay_seconds", "gauge",
+        "Time for which the last update of the source was on its way",
+        std::chrono::duration<double>(node.relay.sourceDelay).count());
+    writeSingleSample(text, "crocus_relay_waiting_bytes", "gauge",
+        "Bytes that wait in the send queues of relay links", static_cast<double>(waitingBytes(node)));
+    writeSingleSample(text, "crocus_relay_oldest_wait_seconds", "gauge",
+        "Longest time for which a frame waits in the send queue of a relay link",
+        std::chrono::duration<double>(oldestWait(node, now())).count());
+    writeSingleSample(text, "crocus_tick_delay_seconds", "gauge",
+        "Longest delay of a tick of the relay in the last second",
+        std::chrono::duration<double>(node.backlog.maxTickDelay).count());
     writeSingleSample(text, "crocus_requests_open", "gauge", "Requests being served",
         static_cast<double>(node.traffic.exchanges.size()));
     writeSingleSample(text, "crocus_caller_connections", "gauge", "Open connections of callers",
--- a/src/libs/edge/node.h
+++ b/src/libs/edge/node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <edge/backlogstate.h>
 #include <edge/clock.h>
 #include <edge/clusterview.h>
 #include <edge/callpool.h>
@@ -67,6 +68,7 @@
     QuarantineRecords quarantineRecords;
     RequestLimits requestLimits;
     LeavingState leaving;
+    BacklogState backlog;
     /// A stop was requested: connections of callers are closed as their requests finish.
     bool stopping = false;
     /// Set with \c stopping: requests that arrive from then on are to be answered until this time.
--- a/src/libs/edge/relay.cpp
+++ b/src/libs/edge/relay.cpp
@@ -1,3 +1,4 @@
+#include <edge/backlog.h>
 #include <edge/clock.h>
 #include <edge/crashreports.h>
 #include <edge/leaderelection.h>
@@ -41,8 +42,11 @@
     }
     checkSourceLink(node, at);
     flushCrashReports(node);
+    sampleBacklog(node, at);
     const bool isHasty = !node.clusterView.directoryLoaded || isReadingNewlyLate(node);
-    node.relay.timer.expires_after(isHasty ? hastyRelayTickInterval : relayTickInterval);
+    const Utils::Duration interval = isHasty ? hastyRelayTickInterval : relayTickInterval;
+    node.backlog.tickDueAt = now() + interval;
+    node.relay.timer.expires_after(interval);
     node.relay.timer.async_wait([&node](const ErrorCode& error) {
         if (!error)
             tickRelay(node);
--- a/src/libs/edge/relaylink.h
+++ b/src/libs/edge/relaylink.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include <edge/relayframe.h>
+#include <edge/queuedframe.h>
 #include <edge/sockets.h>
+#include <relay/transitdelay.h>
 #include <utils/ids.h>
 
 #include <array>
@@ -28,7 +29,7 @@
     /// Received bytes that have not been decoded yet.
     std::string received;
     /// Frames to send; the first one is being written.
-    std::deque<RelayFrame> sendQueue;
+    std::deque<QueuedFrame> sendQueue;
     std::size_t sendQueueBytes = 0;
     /// The VM at one end has subscribed to the other one, and frames may be sent in both directions.
     bool subscribed = false;
@@ -50,6 +51,8 @@
     unsigned cpuPercent = 0;
     /// At the subscriber: the other VM has sent an update as a source.
     bool hasDelivered = false;
+    /// At the subscriber: how long updates of the other VM are on their way.
+    Relay::TransitClock transitClock;
     /// At the subscriber: address of the relay at the other end; empty if the leader has not named it.
     std::string relayAddress;
     /// The VM at the other end; empty for a peer that is not known to be the leader.
--- a/src/libs/edge/relaylinks.cpp
+++ b/src/libs/edge/relaylinks.cpp
@@ -1,3 +1,4 @@
+#include <edge/backlog.h>
 #include <edge/relaysource.h>
 #include <edge/crashreports.h>
 #include <edge/relaylinks.h>
@@ -31,7 +32,7 @@
 
 void writeNextFrame(Node& node, const LinkPtr& link)
 {
-    boost::asio::async_write(link->socket, boost::asio::buffer(*link->sendQueue.front()),
+    boost::asio::async_write(link->socket, boost::asio::buffer(*link->sendQueue.front().frame),
         [&node, link](const ErrorCode& error, std::size_t) {
             if (!isOpen(node, *link))
                 return;
@@ -39,7 +40,8 @@
                 closeLink(node, link, "write");
                 return;
             }
-            link->sendQueueBytes -= link->sendQueue.front()->size();
+            link->sendQueueBytes -= link->sendQueue.front().frame->size();
+            recordFrameDelay(node, now() - link->sendQueue.front().queuedAt);
             link->sendQueue.pop_front();
             if (!link->sendQueue.empty())
                 writeNextFrame(node, link);
@@ -53,7 +55,8 @@
         closeLink(node, link, "full");
         return;
     }
-    link->sendQueue.push_back(std::move(frame));
+    node.backlog.queuedBytes += frame->size();
+    link->sendQueue.push_back({ std::move(frame), now() });
     if (link->sendQueue.size() == 1)
         writeNextFrame(node, link);
 }
--- a/src/libs/edge/relaysource.cpp
+++ b/src/libs/edge/relaysource.cpp
@@ -98,6 +98,7 @@
     update.reportsEnd = relayedReportsEnd(node);
     update.configurationAge = configurationAge(node, now());
     update.vmCount = node.relay.vmCount;
+    update.sentAt = now();
     update.records = std::move(records);
     return update;
 }
--- a/src/libs/edge/relaystate.h
+++ b/src/libs/edge/relaystate.h
@@ -51,6 +51,8 @@
     /// When, by the updates of sources, no later configuration than this VM's was in the store.
     Utils::Instant configurationConfirmedAt {};
     std::uint8_t sourceHops = 0;
+    /// How long the last update of the source was on its way.
+    Utils::Duration sourceDelay {};
     /// When a relay last failed to serve this VM.
     Utils::Instant relayFailedAt {};
     /// The VMs that receive records through this one have changed since the source was told.
--- a/src/libs/edge/relaysubscriber.cpp
+++ b/src/libs/edge/relaysubscriber.cpp
@@ -299,6 +299,8 @@
         closeLink(node, link, "leader_unreadable");
         return;
     }
+    node.relay.sourceDelay = update.sentAt ? Relay::recordTransit(link->transitClock, *update.sentAt, now())
+                                           : Utils::Duration::zero();
     if (!applyRecords(node, update.records)) {
         // The first update of a new subscription contains the missing records.
         closeLink(node, link, "delta_without_base");
--- a/src/libs/relay/framecodec.cpp
+++ b/src/libs/relay/framecodec.cpp
@@ -55,6 +55,11 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(Utils::toMilliseconds(age), 0, UINT32_MAX));
 }
 
+std::uint64_t encodeInstant(Utils::Instant instant)
+{
+    return static_cast<std::uint64_t>(Utils::toMilliseconds(instant.time_since_epoch()));
+}
+
 std::vector<flatbuffers::Offset<Generated::Limit>> packLimits(
     Builder& builder, const std::vector<LimitNotice>& limits)
 {
@@ -130,7 +135,8 @@
         limits.empty() ? nullptr : &limits, optionalText(update.relay), update.hops,
         leaving.empty() ? nullptr : &leaving,
         update.configurationAge ? flatbuffers::Optional<std::uint32_t>(encodeAge(*update.configurationAge))
-                                : flatbuffers::nullopt)
+                                : flatbuffers::nullopt,
+        update.sentAt ? encodeInstant(*update.sentAt) : 0)
         .Union();
 }
 
@@ -204,6 +210,8 @@
     update.leaving = unpackLeaving(packed.leaving());
     if (packed.configuration_age_ms())
         update.configurationAge = std::chrono::milliseconds(*packed.configuration_age_ms());
+    if (packed.sent_ms() > 0)
+        update.sentAt = Utils::Instant(std::chrono::milliseconds(packed.sent_ms()));
     return update;
 }
 
--- a/src/libs/relay/update.h
+++ b/src/libs/relay/update.h
@@ -3,6 +3,7 @@
 #include <relay/leavingnotice.h>
 #include <relay/limitnotice.h>
 #include <relay/relayrecord.h>
+#include <utils/time.h>
 
 #include <cstdint>
 #include <optional>
@@ -43,6 +44,8 @@
     std::vector<LeavingNotice> leaving;
     /// Time since the sender last knew that no later configuration than its own was in the store.
     std::optional<Utils::Duration> configurationAge;
+    /// When the update was encoded, by the clock of the sender; not set by former builds.
+    std::optional<Utils::Instant> sentAt;
 
     bool operator==(const Update&) const = default;
 };
