--- /dev/null
+++ b/tests/auto/edge/tst_latechanges.cpp
@@ -0,0 +1,141 @@
+#include "testenvironment.h"
+
+#include <edge/clock.h>
+#include <edge/relaysource.h>
+#include <edge/relaytree.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace EdgeTest;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t leader = 0;
+constexpr std::size_t relay = 1;
+constexpr std::size_t leaf = 2;
+
+/// Time in which a change must be in force on all VMs of a large fleet, and of a small one.
+constexpr std::chrono::milliseconds largeFleetChangeTimeout = 4000ms;
+constexpr std::chrono::milliseconds smallFleetChangeTimeout = 2500ms;
+
+Edge::Node& nodeOf(TestEnvironment& environment, std::size_t vm) { return environment.vms[vm]->node; }
+
+bool isLeading(const Edge::Node& node)
+{
+    return Granting::holdsLeaderLease(node.leader.leadership, Edge::now());
+}
+
+bool isUsable(const Edge::Node& node, const char* upstream)
+{
+    return Routing::findUsable(node.clusterView.directory, { upstream }) != nullptr;
+}
+
+Edge::Service& startVmOfLargeFleet(TestEnvironment& environment)
+{
+    Edge::Service& vm = startVm(environment);
+    vm.node.relay.maxDirectSubscribers = 1;
+    vm.node.settings.operatingLimits.configurationApplyTimeout = largeFleetChangeTimeout;
+    vm.node.settings.operatingLimits.drainTimeout = largeFleetChangeTimeout;
+    return vm;
+}
+
+/// Starts a leader that serves one VM itself, that VM, which is a relay, and one that it serves.
+void startTree(TestEnvironment& environment)
+{
+    Edge::Node& first = startReadyVm(environment).node;
+    first.relay.maxDirectSubscribers = 1;
+    REQUIRE(runUntil(environment, [&first] { return isLeading(first); }));
+    startVmOfLargeFleet(environment);
+    REQUIRE(runUntil(environment, [&] { return nodeOf(environment, relay).relay.isSubscribed; }));
+    startVmOfLargeFleet(environment);
+    REQUIRE(runUntil(environment, [&] { return nodeOf(environment, leaf).relay.isSubscribed; }));
+    REQUIRE(runUntil(
+        environment, [&] { return nodeOf(environment, leaf).relay.vmCount == 3; }, 8000ms));
+    REQUIRE(runUntil(environment, [&] { return !nodeOf(environment, leaf).relay.peers.empty(); }));
+}
+
+} // namespace
+
+TEST_CASE("A VM without a source turns to the leader that another VM has named", "[latechanges]")
+{
+    // Guards against a VM that asks one peer after the other who leads, until the search for a source ends
+    // and it reads the store.
+    TestEnvironment environment;
+    addUpstream(environment, "i-1", "plain");
+    startTree(environment);
+    Edge::Node& node = nodeOf(environment, leaf);
+    const StandInStore::StoreDoor& door = separateStoreAccess(environment, *environment.vms[leaf]);
+    // It knows a former leader, which is gone, and VMs that are no sources but know the leader.
+    Granting::Leadership& leadership = node.leader.leadership;
+    --*leadership.logEnd;
+    leadership.lastRecord->vm = { "former" };
+    leadership.lastRecord->loadReportEndpoint = { "127.0.0.1", 1 };
+    node.relay.peers = { nodeOf(environment, relay).settings.address };
+    Edge::Internal::closeLink(node, Edge::Internal::LinkPtr(node.relay.sourceLink), "test");
+    CHECK(runUntil(
+        environment, [&node] { return node.relay.isSubscribed; }, 700ms));
+    CHECK(door.calls == 0);
+}
+
+TEST_CASE("A VM whose calls the store rejects finds a source although the leader's are rejected, too",
+    "[latechanges]")
+{
+    // Guards against a VM that stays with a leader that is not fresh, as it can't read the store itself,
+    // while other VMs can.
+    TestEnvironment environment;
+    TestUpstream& upstream = addUpstream(environment, "i-1", "plain");
+    addUpstream(environment, "i-2", "plain");
+    Edge::Node& first = startReadyVm(environment).node;
+    REQUIRE(runUntil(environment, [&first] { return isLeading(first); }));
+    for (std::size_t vm = 1; vm < 4; ++vm)
+        startVm(environment);
+    REQUIRE(runUntil(environment, [&environment] {
+        return std::all_of(environment.vms.begin() + 1, environment.vms.end(),
+            [](const std::unique_ptr<Edge::Service>& vm) { return vm->node.relay.peers.size() == 3; });
+    }));
+    Edge::Node& rejected = nodeOf(environment, 3);
+    for (const std::size_t vm : { std::size_t(0), std::size_t(3) })
+        separateStoreAccess(environment, *environment.vms[vm]).refuses = true;
+    // The connections to the store that were open before are used until a read has ended.
+    runFor(environment, 900ms);
+    publishConfiguration(environment, 2);
+    publishUpstreamEntry(environment, upstream, "draining");
+    CHECK(runUntil(
+        environment,
+        [&rejected] {
+            return rejected.clusterView.routeTable->configuration.version == 2 && !isUsable(rejected, "i-1");
+        },
+        smallFleetChangeTimeout));
+}
+
+TEST_CASE("The waits of a VM for its source end before a change is due", "[latechanges]")
+{
+    // Guards against waits that are bounded one by one, but together last longer than a change may take: the
+    // patience with a late relay and the search for another source.
+    struct Row {
+        const char* name;
+        std::vector<std::size_t> rejectedVms;
+    };
+    const Row row = GENERATE(values<Row>({
+        { "the leader can't read the store", { leader } },
+        { "the leader and the relay can't", { leader, relay } },
+    }));
+    INFO(row.name);
+    TestEnvironment environment;
+    TestUpstream& upstream = addUpstream(environment, "i-1", "plain");
+    addUpstream(environment, "i-2", "plain");
+    startTree(environment);
+    for (const std::size_t vm : row.rejectedVms)
+        separateStoreAccess(environment, *environment.vms[vm]).refuses = true;
+    runFor(environment, 900ms);
+    publishConfiguration(environment, 2);
+    publishUpstreamEntry(environment, upstream, "draining");
+    const Edge::Node& node = nodeOf(environment, leaf);
+    CHECK(runUntil(
+        environment,
+        [&node] { return node.clusterView.routeTable->configuration.version == 2 && !isUsable(node, "i-1"); },
+        largeFleetChangeTimeout));
+}
