Turn to the leader that another VM names

What callers saw: requests handled by a former configuration, for the 1.2 to 1.8 s that a VM of a large fleet looks for a source, after another VM had become the leader. Cause: closing the link on which a peer has named the leader counted as the loss of a source, after which the next attempt goes to another peer. That one names the leader as well, and so on, until the search ends and the store is read.

--- a/src/libs/edge/relaysubscriber.cpp
+++ b/src/libs/edge/relaysubscriber.cpp
@@ -213,6 +213,13 @@
     scheduleStoreReading(node, searchTimeout(node));
 }
 
+/// Whether \a link was to a leader, and another VM is known to lead since.
+bool hasBeenReplaced(const Node& node, const RelayLink& link)
+{
+    const std::optional<Granting::LeaderRecord>& leader = node.leader.leadership.lastRecord;
+    return !link.vm.value.empty() && leader && !leader->vm.value.empty() && leader->vm != link.vm;
+}
+
 void handleSourceDisconnected(Node& node, const RelayLink& link)
 {
     fallBackToStore(node);
@@ -223,7 +230,8 @@
     // The leader names another relay in place of a lost one. A VM that starts tries it by turns with the
     // peers.
     const bool isStarting = !node.clusterView.directoryLoaded;
-    node.relay.connectToPeerNext = link.relayAddress.empty() && !(isStarting && link.vm.value.empty());
+    node.relay.connectToPeerNext
+        = link.relayAddress.empty() && !(isStarting && link.vm.value.empty()) && !hasBeenReplaced(node, link);
     node.relay.lastConnectAttemptAt = {};
 }
 
@@ -285,6 +293,15 @@
     });
 }
 
+/// Connects to \a leader, of which another VM has a later record than this one had.
+void connectToNamedLeader(Node& node, const Granting::LeaderRecord& leader)
+{
+    if (leader.vm.value.empty() || leader.vm == node.settings.name || node.relay.sourceLink)
+        return;
+    node.relay.connectToPeerNext = false;
+    connectTo(node, leader.vm, leader.loadReportEndpoint);
+}
+
 void handleUpdate(Node& node, const LinkPtr& link, const Relay::Update& update)
 {
     if (update.senderIsSource && update.vmCount > 0)
@@ -314,6 +331,7 @@
     node.relay.subscribersChanged |= !update.members.empty() && !node.relay.subscribers.empty();
     recordReportedLimits(node, update.limits, true);
     recordReportedLeaving(node, update.leaving, true);
+    const std::optional<Utils::Offset> previousLeaderTopicEnd = node.leader.leadership.logEnd;
     // The sender may not know yet that the store has returned from an older copy.
     if (Platform::eraOf(update.leaderTopicEnd) >= node.leader.leadership.storeEra)
         Granting::recordLogRead(node.leader.leadership, update.leaderTopicEnd, leader, now());
@@ -323,6 +341,8 @@
         node.relay.lastConnectAttemptAt = {};
         if (!update.relay.empty())
             subscribeToRelay(node, update.relay);
+        else if (node.leader.leadership.logEnd != previousLeaderTopicEnd)
+            connectToNamedLeader(node, *leader);
         return;
     }
     link->hasDelivered = true;
