Ask peers beside a link that brings nothing fresh

What callers saw: requests handled by a former configuration at VMs behind a relay that the store rejects, while the leader is rejected, too. Cause: a VM that can't read the store stays linked to a leader that can't either, so that it is served first after an outage; it asked nobody else. Now such a VM asks one peer at a time on a second link. Closing the first link instead was ruled out: after an outage all VMs would subscribe anew at once, which has tipped the large fleet over before. The links of a subscriber have a file of their own (sourcelinks), changeTimeout() as well. edge.latechanges, second case: failed before (nothing within 2.5 s), passes; the third still fails.

--- a/src/libs/edge/relay.cpp
+++ b/src/libs/edge/relay.cpp
@@ -8,6 +8,7 @@
 #include <edge/relaysource.h>
 #include <edge/relaysubscriber.h>
 #include <edge/relaytree.h>
+#include <edge/sourcelinks.h>
 #include <edge/storereads.h>
 #include <granting/loadreportcodec.h>
 #include <relay/framecodec.h>
--- a/src/libs/edge/relaylinks.cpp
+++ b/src/libs/edge/relaylinks.cpp
@@ -27,7 +27,8 @@
 bool isOpen(const Node& node, const RelayLink& link)
 {
     return node.relay.subscribers.contains(link.id)
-        || (node.relay.sourceLink && node.relay.sourceLink->id == link.id);
+        || (node.relay.sourceLink && node.relay.sourceLink->id == link.id)
+        || (node.relay.probeLink && node.relay.probeLink->id == link.id);
 }
 
 void writeNextFrame(Node& node, const LinkPtr& link)
@@ -133,6 +134,8 @@
         resendCrashReports(node);
         handleSourceDisconnected(node, *link);
     }
+    if (node.relay.probeLink && node.relay.probeLink->id == link->id)
+        node.relay.probeLink.reset();
     if (node.relay.subscribers.erase(link->id) > 0 && link->subscribed)
         node.relay.relayedMembersChanged = true;
     Logging::write(Logging::Level::Info, "link_lost",
--- a/src/libs/edge/relaystate.h
+++ b/src/libs/edge/relaystate.h
@@ -38,6 +38,11 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<RelayLink>> subscribers;
     /// The link to the leader or to a fallback source.
     std::shared_ptr<RelayLink> sourceLink;
+    /// The link to a peer that is asked whether it is a source, while sourceLink is no fresh one.
+    std::shared_ptr<RelayLink> probeLink;
+    Utils::Instant lastProbeAt {};
+    /// Number of probes since this VM lost its source.
+    unsigned probes = 0;
     Utils::Instant lastConnectAttemptAt {};
     /// When bytes were last received on sourceLink, or when it was opened.
     Utils::Instant lastReceivedAt {};
--- a/src/libs/edge/relaysubscriber.cpp
+++ b/src/libs/edge/relaysubscriber.cpp
@@ -1,3 +1,4 @@
+#include <edge/changetimes.h>
 #include <edge/clusterviewupdates.h>
 #include <edge/clock.h>
 #include <edge/leaderelection.h>
@@ -10,6 +11,7 @@
 #include <edge/relay.h>
 #include <edge/relaysubscriber.h>
 #include <edge/relaytree.h>
+#include <edge/sourcelinks.h>
 #include <edge/storereads.h>
 #include <granting/recordcodec.h>
 #include <logging/log.h>
@@ -33,22 +35,6 @@
 using ErrorCode = boost::system::error_code;
 using Relay::RelayTopic;
 
-/// A source that sends nothing for longer is considered unreachable, where changes must be in force soon. Two
-/// of its heartbeats may be late, and a change still takes effect within the limits of the platform after the
-/// source search that follows.
-constexpr Utils::Duration minSourceTimeout = std::chrono::milliseconds(1000);
-
-/// Minimum time between two connection attempts, and the same until the directory is loaded or while a topic
-/// has become unreadable.
-constexpr Utils::Duration connectInterval = std::chrono::milliseconds(600);
-constexpr Utils::Duration hastyConnectInterval = std::chrono::milliseconds(50);
-
-/// A VM that starts asks the seeds if the store has not responded by then.
-constexpr Utils::Duration usualStoreLatency = std::chrono::milliseconds(300);
-
-/// A connection to a VM of another region takes 40 ms, unless the link is saturated.
-constexpr Utils::Duration connectTimeout = std::chrono::milliseconds(700);
-
 /// Most of a leader lease, so that another VM is likely to be the leader by then.
 constexpr Utils::Duration largeConfigurationReadInterval = std::chrono::milliseconds(1500);
 /// All VMs of a region read 280 KB each over 60 Mbit/s in less time.
@@ -115,13 +101,6 @@
     return hasLargeRecords(node.topicFollowers.configurations) && node.minStoreLatency > maxLocalStoreLatency;
 }
 
-/// Time within which a change has to reach all VMs.
-Utils::Duration changeTimeout(const Node& node)
-{
-    const Routing::OperatingLimits& limits = node.settings.operatingLimits;
-    return std::min(limits.configurationApplyTimeout, limits.drainTimeout);
-}
-
 SourceKind sourceKindOf(const RelayLink& link)
 {
     if (!link.relayAddress.empty())
@@ -129,19 +108,6 @@
     return link.vm.value.empty() ? SourceKind::Fallback : SourceKind::Leader;
 }
 
-/// Whether this VM has no source and can't read all topics of the store either.
-bool isDisconnectedFromLeaderAndStore(const Node& node)
-{
-    return !node.relay.isSubscribed && (isStoreFailing(node) || isReadingLate(node));
-}
-
-/// Whether the store has not responded since this VM started.
-bool isStartingWithoutStore(const Node& node, Utils::Instant at)
-{
-    return !node.clusterView.directoryLoaded && node.topicFollowers.leader.lastResponseAt == Utils::Instant {}
-    && at - node.startedAt > usualStoreLatency;
-}
-
 /// How long to look for a relay source among the peers before the store is read.
 Utils::Duration searchTimeout(const Node& node)
 {
@@ -240,6 +206,7 @@
     if (node.relay.isSubscribed)
         return;
     node.relay.isSubscribed = true;
+    node.relay.probes = 0;
     queueLeavingForSource(node);
     node.relay.sourceKind = sourceKindOf(link);
     cancelTimer(node.relay.storeReadTimer);
@@ -296,8 +263,11 @@
 /// Connects to \a leader, of which another VM has a later record than this one had.
 void connectToNamedLeader(Node& node, const Granting::LeaderRecord& leader)
 {
-    if (leader.vm.value.empty() || leader.vm == node.settings.name || node.relay.sourceLink)
+    if (leader.vm.value.empty() || leader.vm == node.settings.name || node.relay.isSubscribed
+        || (node.relay.sourceLink && node.relay.sourceLink->vm == leader.vm))
         return;
+    if (node.relay.sourceLink)
+        closeLink(node, LinkPtr(node.relay.sourceLink), "superseded");
     node.relay.connectToPeerNext = false;
     connectTo(node, leader.vm, leader.loadReportEndpoint);
 }
@@ -318,6 +288,13 @@
     }
     node.relay.sourceDelay = update.sentAt ? Relay::recordTransit(link->transitClock, *update.sentAt, now())
                                            : Utils::Duration::zero();
+    if (node.relay.probeLink == link && update.senderIsSource) {
+        if (!update.isFresh) {
+            closeLink(node, link, "not_fresh");
+            return;
+        }
+        promoteProbe(node);
+    }
     if (!applyRecords(node, update.records)) {
         // The first update of a new subscription contains the missing records.
         closeLink(node, link, "delta_without_base");
@@ -337,6 +314,9 @@
         Granting::recordLogRead(node.leader.leadership, update.leaderTopicEnd, leader, now());
     // A VM that is not a source sends a single response, which names the leader or a relay.
     if (!update.senderIsSource) {
+        // A relay that a probe has been redirected to takes the place of the source.
+        if (node.relay.probeLink == link && !update.relay.empty())
+            promoteProbe(node);
         closeLink(node, link, update.relay.empty() ? "leader_named" : "redirected");
         node.relay.lastConnectAttemptAt = {};
         if (!update.relay.empty())
@@ -366,105 +346,6 @@
         scheduleLeavingStaleSource(node, link);
 }
 
-void subscribe(Node& node, const LinkPtr& link)
-{
-    configureSocket(link->socket);
-    Relay::Subscription subscription;
-    subscription.vm = node.settings.name;
-    subscription.configurations = node.topicFollowers.configurations.nextOffset.value_or(0);
-    subscription.reports = node.topicFollowers.reports.nextOffset.value_or(0);
-    subscription.assignments = node.topicFollowers.assignments.nextOffset.value_or(0);
-    subscription.storeIsLocal = !isStoreRemote(node);
-    subscription.zone = node.settings.zone;
-    subscription.followsRedirects = true;
-    subscription.isRedirected = !link->relayAddress.empty();
-    subscription.subscribers = static_cast<std::uint32_t>(relayedAddresses(node).size());
-    subscription.relayFailed = hasRelayFailed(node);
-    subscription.cpuPercent = static_cast<std::uint8_t>(std::clamp(node.settings.cpuShare * 100, 0.0, 255.0));
-    node.relay.relayedMembersChanged = subscription.subscribers > 0;
-    link->requestedAllReports = subscription.reports == 0;
-    node.relay.lastReceivedAt = now();
-    sendFrame(node, link, Relay::encodeFrame(subscription));
-    link->subscribed = true;
-    sendKnownCrashes(node, link);
-    readFrames(node, link);
-}
-
-void connectTo(Node& node, const Utils::VmId& vm, const Routing::Endpoint& endpoint)
-{
-    node.relay.lastConnectAttemptAt = now();
-    const LinkPtr link = std::make_shared<RelayLink>(++node.traffic.lastId, Tcp::socket(node.context));
-    link->vm = vm;
-    node.relay.sourceLink = link;
-    node.relay.lastReceivedAt = now();
-    // The source sends the remote address of this link to other VMs as the address of this VM.
-    ErrorCode error;
-    link->socket.open(Tcp::v4(), error);
-    link->socket.bind(toTcpEndpoint({ node.settings.address, 0 }), error);
-    if (error) {
-        closeLink(node, link, "bind");
-        return;
-    }
-    link->socket.async_connect(toTcpEndpoint(endpoint), [&node, link](const ErrorCode& error) {
-        if (!isOpen(node, *link))
-            return;
-        if (error)
-            closeLink(node, link, "connect");
-        else
-            subscribe(node, link);
-    });
-}
-
-/// Connects to the next peer, to subscribe to it or to learn who the leader is.
-void connectToNextPeer(Node& node)
-{
-    RelayState& relay = node.relay;
-    for (std::size_t skipped = 0; skipped < relay.peers.size(); ++skipped) {
-        const std::string address = relay.peers[relay.nextPeer++ % relay.peers.size()];
-        if (address == node.settings.address)
-            continue;
-        connectTo(node, {}, { address, node.settings.firstInternalPort });
-        return;
-    }
-}
-
-void checkSourceLink(Node& node, Utils::Instant at)
-{
-    RelayState& relay = node.relay;
-    const std::optional<Granting::LeaderRecord>& leader = node.leader.leadership.lastRecord;
-    const bool otherVmLeads = leader && !leader->vm.value.empty() && leader->vm != node.settings.name;
-    const bool isLeader = Granting::holdsLeaderLease(node.leader.leadership, at);
-    const bool isPeerLink = relay.sourceLink && relay.sourceLink->vm.value.empty();
-    if (relay.sourceLink
-        && (isLeader || (!isPeerLink && (!otherVmLeads || relay.sourceLink->vm != leader->vm)))) {
-        closeLink(node, LinkPtr(relay.sourceLink), "superseded");
-        return;
-    }
-    if (relay.sourceLink
-        && at - relay.lastReceivedAt > Relay::silentSourceTimeout(changeTimeout(node), minSourceTimeout)) {
-        closeLink(node, LinkPtr(relay.sourceLink), silentReason);
-        return;
-    }
-    if (relay.sourceLink && !relay.sourceLink->subscribed && at - relay.lastReceivedAt > connectTimeout) {
-        closeLink(node, LinkPtr(relay.sourceLink), "connect_timeout");
-        return;
-    }
-    const bool isHasty = !node.clusterView.directoryLoaded || isReadingNewlyLate(node);
-    const Utils::Duration interval = isHasty ? hastyConnectInterval : connectInterval;
-    if (relay.sourceLink || isLeader || at - relay.lastConnectAttemptAt <= interval)
-        return;
-    // Every second attempt goes to a peer while neither the leader nor the store can be reached.
-    const bool isAlone = isDisconnectedFromLeaderAndStore(node) || isStartingWithoutStore(node, at);
-    if (isAlone && !otherVmLeads && at - relay.lastConnectAttemptAt <= connectInterval)
-        return;
-    const bool usePeer = std::exchange(relay.connectToPeerNext, !relay.connectToPeerNext && isAlone)
-        || (isAlone && !otherVmLeads);
-    if (usePeer && !relay.peers.empty())
-        connectToNextPeer(node);
-    else if (otherVmLeads)
-        connectTo(node, leader->vm, leader->loadReportEndpoint);
-}
-
 } // namespace Internal
 
 } // namespace Edge
--- a/src/libs/edge/relaysubscriber.h
+++ b/src/libs/edge/relaysubscriber.h
@@ -22,14 +22,7 @@
 /// Handles the loss of \a link to the source: looks for another source, or reads the store.
 void handleSourceDisconnected(Node& node, const RelayLink& link);
 
-/// Connects to a VM to subscribe to it; \a vm is empty unless it is known to be the leader.
-void connectTo(Node& node, const Utils::VmId& vm, const Routing::Endpoint& endpoint);
-
 /// Ends the subscription and reads the store. With a remote store, looks for another source first.
 void fallBackToStore(Node& node);
 
-/// Maintains the link to the source: connects to the leader or to a peer, and closes a link that has timed
-/// out.
-void checkSourceLink(Node& node, Utils::Instant at);
-
 } // namespace Edge::Internal
--- a/src/libs/edge/relaytree.cpp
+++ b/src/libs/edge/relaytree.cpp
@@ -2,6 +2,7 @@
 #include <edge/relaysource.h>
 #include <edge/relaysubscriber.h>
 #include <edge/relaytree.h>
+#include <edge/sourcelinks.h>
 #include <relay/relaytree.h>
 #include <utils/hash.h>
 
