Read the store before a change is due, however many sources are late

Cause, a class: waits that are bounded one by one, but not together. A late relay is borne for 3.25 to 4.0 s, then a source is looked for for 1.2 to 1.8 s; the first alone uses the whole time that a change may take, and nobody counted for how long the relay's own records had been unconfirmed. Now updates say for how long their sender has not known the newest records of all topics (records_age_ms), each hop adds its own, and a VM reads the store itself 0.4 to 0.7 s before a change that it may have missed is due. Patience and search end before.

--- a/src/libs/edge/changetimes.cpp
+++ b/src/libs/edge/changetimes.cpp
@@ -1,4 +1,7 @@
 #include <edge/changetimes.h>
+#include <edge/storereads.h>
+#include <relay/patience.h>
+#include <utils/hash.h>
 
 #include <algorithm>
 
@@ -10,4 +13,15 @@
     return std::min(limits.configurationApplyTimeout, limits.drainTimeout);
 }
 
+Utils::Instant recordsConfirmedAt(const Node& node)
+{
+    return std::max(oldestRead(node), node.relay.recordsConfirmedAt);
+}
+
+Utils::Instant latestStoreRead(const Node& node)
+{
+    return Relay::latestStoreRead(recordsConfirmedAt(node), changeTimeout(node),
+        Utils::stableHash(node.settings.name.value, node.incarnation));
+}
+
 } // namespace Edge
--- a/src/libs/edge/relaysource.cpp
+++ b/src/libs/edge/relaysource.cpp
@@ -1,3 +1,4 @@
+#include <edge/changetimes.h>
 #include <edge/clock.h>
 #include <edge/addressreuse.h>
 #include <edge/crashreports.h>
@@ -99,6 +100,8 @@
     update.configurationAge = configurationAge(node, now());
     update.vmCount = node.relay.vmCount;
     update.sentAt = now();
+    if (recordsConfirmedAt(node) != Utils::Instant {})
+        update.recordsAge = now() - recordsConfirmedAt(node);
     update.records = std::move(records);
     return update;
 }
--- a/src/libs/edge/relaystate.h
+++ b/src/libs/edge/relaystate.h
@@ -55,6 +55,8 @@
     Utils::Instant sourceUpdatedAt {};
     /// When, by the updates of sources, no later configuration than this VM's was in the store.
     Utils::Instant configurationConfirmedAt {};
+    /// When, by the updates of sources, this VM had the newest records of all topics.
+    Utils::Instant recordsConfirmedAt {};
     std::uint8_t sourceHops = 0;
     /// How long the last update of the source was on its way.
     Utils::Duration sourceDelay {};
--- a/src/libs/edge/relaysubscriber.cpp
+++ b/src/libs/edge/relaysubscriber.cpp
@@ -247,9 +247,11 @@
 {
     const std::uint64_t seed = Utils::stableHash(node.settings.name.value, node.incarnation);
     const bool hasSubscribers = !subscribedLinks(node).empty();
-    const Utils::Duration patience = link->relayAddress.empty()
+    const Utils::Duration usual = link->relayAddress.empty()
         ? Relay::staleSourcePatience(changeTimeout(node), hasSubscribers ? 0 : seed)
         : Relay::staleRelayPatience(changeTimeout(node), seed);
+    const Utils::Duration patience
+        = std::min(usual, latestStoreRead(node) - Relay::sourceSearchReserve - now());
     if (patience <= Utils::Duration::zero()) {
         leaveStaleSource(node, link);
         return;
@@ -333,6 +335,10 @@
     if (update.configurationAge || update.isFresh)
         node.relay.configurationConfirmedAt = std::max(node.relay.configurationConfirmedAt,
             now() - update.configurationAge.value_or(Utils::Duration::zero()));
+    // A former build only says whether its reads are fresh.
+    if (update.recordsAge || update.isFresh)
+        node.relay.recordsConfirmedAt = std::max(node.relay.recordsConfirmedAt,
+            now() - update.recordsAge.value_or(Utils::Duration::zero()) - node.relay.sourceDelay);
     recordSourceProgress(node, *link, update);
     if (update.isFresh) {
         node.relay.staleSourceId = 0;
--- a/src/libs/edge/relaytree.cpp
+++ b/src/libs/edge/relaytree.cpp
@@ -1,3 +1,4 @@
+#include <edge/changetimes.h>
 #include <edge/clock.h>
 #include <edge/relaysource.h>
 #include <edge/relaysubscriber.h>
@@ -35,7 +36,8 @@
 Relay::SearchSituation searchSituation(const Node& node)
 {
     return { isLargeFleet(node), isStoreRemote(node), isStoreReader(node),
-        Utils::stableHash(node.settings.name.value, node.incarnation) };
+        Utils::stableHash(node.settings.name.value, node.incarnation),
+        std::max(latestStoreRead(node) - now(), Utils::Duration::zero()) };
 }
 
 bool isStoreReader(const Node& node)
--- a/src/libs/edge/storereads.cpp
+++ b/src/libs/edge/storereads.cpp
@@ -53,6 +53,16 @@
            });
 }
 
+Utils::Instant oldestRead(const Node& node)
+{
+    Utils::Instant oldest = Utils::Instant::max();
+    for (const TopicFollower* const topic : Internal::requestTopics(node)) {
+        if (Internal::isFollowed(node, *topic))
+            oldest = std::min(oldest, topic->lastResponseAt);
+    }
+    return oldest;
+}
+
 bool isReadingLate(const Node& node)
 {
     const Internal::RequestTopics topics = Internal::requestTopics(node);
--- a/src/libs/edge/storereads.h
+++ b/src/libs/edge/storereads.h
@@ -8,6 +8,9 @@
 /// Whether this VM's reads of every topic that it follows for its subscribers have succeeded recently.
 bool hasFreshReads(const Node& node);
 
+/// When the topic was last read whose last successful read is the oldest.
+Utils::Instant oldestRead(const Node& node);
+
 /// Whether this VM has not been able to read one of these topics for some time.
 bool isReadingLate(const Node& node);
 
--- a/src/libs/relay/framecodec.cpp
+++ b/src/libs/relay/framecodec.cpp
@@ -55,6 +55,11 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(Utils::toMilliseconds(age), 0, UINT32_MAX));
 }
 
+flatbuffers::Optional<std::uint32_t> encodeOptionalAge(const std::optional<Utils::Duration>& age)
+{
+    return age ? flatbuffers::Optional<std::uint32_t>(encodeAge(*age)) : flatbuffers::nullopt;
+}
+
 std::uint64_t encodeInstant(Utils::Instant instant)
 {
     return static_cast<std::uint64_t>(Utils::toMilliseconds(instant.time_since_epoch()));
@@ -133,10 +138,8 @@
     return Generated::CreateUpdateDirect(builder, update.leader.c_str(), update.leaderTopicEnd,
         update.isFresh, update.vmCount, &peers, &records, update.senderIsSource, update.reportsEnd, &members,
         limits.empty() ? nullptr : &limits, optionalText(update.relay), update.hops,
-        leaving.empty() ? nullptr : &leaving,
-        update.configurationAge ? flatbuffers::Optional<std::uint32_t>(encodeAge(*update.configurationAge))
-                                : flatbuffers::nullopt,
-        update.sentAt ? encodeInstant(*update.sentAt) : 0)
+        leaving.empty() ? nullptr : &leaving, encodeOptionalAge(update.configurationAge),
+        update.sentAt ? encodeInstant(*update.sentAt) : 0, encodeOptionalAge(update.recordsAge))
         .Union();
 }
 
@@ -210,6 +213,8 @@
     update.leaving = unpackLeaving(packed.leaving());
     if (packed.configuration_age_ms())
         update.configurationAge = std::chrono::milliseconds(*packed.configuration_age_ms());
+    if (packed.records_age_ms())
+        update.recordsAge = std::chrono::milliseconds(*packed.records_age_ms());
     if (packed.sent_ms() > 0)
         update.sentAt = Utils::Instant(std::chrono::milliseconds(packed.sent_ms()));
     return update;
--- a/src/libs/relay/patience.h
+++ b/src/libs/relay/patience.h
@@ -26,4 +26,12 @@
 /// links are not saturated.
 Utils::Duration silentSourceTimeout(Utils::Duration changeTimeout, Utils::Duration minimum);
 
+/// Part of the time until latestStoreRead() that a VM keeps for the search of another source.
+inline constexpr Utils::Duration sourceSearchReserve = std::chrono::milliseconds(700);
+
+/// When a VM has to read the store itself at the latest, if it last knew at \a confirmedAt that it had the
+/// newest records. All waits for a source end before: bounded one by one, they would add up to more than \a
+/// changeTimeout. \a seed, different for each VM, spreads the reads.
+Utils::Instant latestStoreRead(Utils::Instant confirmedAt, Utils::Duration changeTimeout, std::uint64_t seed);
+
 } // namespace Relay
--- a/src/libs/relay/sourcesearch.cpp
+++ b/src/libs/relay/sourcesearch.cpp
@@ -1,5 +1,7 @@
 #include <relay/sourcesearch.h>
 
+#include <algorithm>
+
 namespace Relay {
 
 namespace Internal {
@@ -12,6 +14,9 @@
 constexpr Utils::Duration largeFleetSearchTimeout = std::chrono::milliseconds(1200);
 constexpr Utils::Duration maxLargeFleetJitter = std::chrono::milliseconds(600);
 
+/// Enough to ask one VM that reads the store.
+constexpr Utils::Duration minSearchTimeout = std::chrono::milliseconds(200);
+
 /// A restarted leader can be reached within a tenth of a second.
 constexpr Utils::Duration startupSearchTimeout = std::chrono::milliseconds(1500);
 constexpr Utils::Duration maxStartupJitter = std::chrono::milliseconds(1500);
@@ -34,8 +39,9 @@
 Utils::Duration sourceSearchTimeout(const SearchSituation& situation)
 {
     if (situation.isLargeFleet && !situation.isStoreReader)
-        return Internal::largeFleetSearchTimeout
-            + Internal::jitter(Internal::maxLargeFleetJitter, situation.seed);
+        return std::clamp(situation.timeLeft, Internal::minSearchTimeout,
+            Internal::largeFleetSearchTimeout
+                + Internal::jitter(Internal::maxLargeFleetJitter, situation.seed));
     return situation.storeIsRemote ? Internal::remoteSearchTimeout : Utils::Duration::zero();
 }
 
--- a/src/libs/relay/sourcesearch.h
+++ b/src/libs/relay/sourcesearch.h
@@ -20,6 +20,8 @@
     bool isStoreReader = false;
     /// Different for each VM; spreads their reads.
     std::uint64_t seed = 0;
+    /// Until this VM has to read the store, as a change may be due that it does not know.
+    Utils::Duration timeLeft = Utils::Duration::max();
 };
 
 /// How long to look for a source before the store is read.
--- a/src/libs/relay/update.h
+++ b/src/libs/relay/update.h
@@ -44,6 +44,8 @@
     std::vector<LeavingNotice> leaving;
     /// Time since the sender last knew that no later configuration than its own was in the store.
     std::optional<Utils::Duration> configurationAge;
+    /// Time since the sender last knew the newest records of all topics.
+    std::optional<Utils::Duration> recordsAge;
     /// When the update was encoded, by the clock of the sender; not set by former builds.
     std::optional<Utils::Instant> sentAt;
 
