Let the VMs with most capacity carry the tree, whatever the order in which VMs come

The next leaders had a tenth of a core and 20 Mbit/s. Five of its leaders resign in a row, four as topic_unreadable. Now capacity is the scarcer of processor and link (link_mbps is read from the settings). A VM with twice the capacity of one that the leader serves is served by the leader as well; the weakest one that relays to no others makes room. Fleets of VMs of one size choose as before.

--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -19,6 +19,7 @@
 #include <granting/grantingconstants.h>
 #include <granting/recordcodec.h>
 #include <granting/storereturn.h>
+#include <relay/relaytree.h>
 #include <logging/log.h>
 #include <utils/hash.h>
 
@@ -41,9 +42,6 @@
 
 constexpr Utils::Duration standbyTickInterval = std::chrono::milliseconds(250);
 
-/// Share of a core with which a VM can be the leader of a large cluster; the smallest VMs have a tenth.
-constexpr double minPreferredCpuShare = 0.3;
-
 /// The record is part of each update to subscribers.
 constexpr std::size_t maxRecordedRelays = 8;
 
@@ -211,7 +209,8 @@
         appendLeaseRecord(node);
     if (Granting::holdsLeaderLease(leadership, at))
         runLeaderTasks(node, at);
-    node.leader.timer.expires_after(leadership.term || isWaiting ? leaderTickInterval : standbyTickInterval);
+    const bool isAttentive = leadership.term || isWaiting || Granting::isAcquisitionNear(leadership, at);
+    node.leader.timer.expires_after(isAttentive ? leaderTickInterval : standbyTickInterval);
     node.leader.timer.async_wait([&node](const ErrorCode& error) {
         if (!error)
             tick(node);
@@ -242,9 +241,11 @@
     constexpr double range = 65536;
     const double randomDelay
         = static_cast<double>(Utils::stableHash(node.settings.name.value, node.incarnation) % 65536) / range;
-    const double lowCpuDelay = node.settings.cpuShare < Internal::minPreferredCpuShare ? 0.5 : 0;
+    const double capacity = Relay::relayCapacity(
+        static_cast<unsigned>(node.settings.cpuShare * 100), node.settings.linkMegabits);
+    const double lowCapacityDelay = capacity < 1 ? 0.5 : 0;
     const double remoteStoreDelay = node.minStoreLatency > maxLocalStoreLatency ? 0.25 : 0;
-    return lowCpuDelay + remoteStoreDelay + randomDelay / 4;
+    return lowCapacityDelay + remoteStoreDelay + randomDelay / 4;
 }
 
 void startLeaderElection(Node& node)
--- a/src/libs/edge/relaylink.h
+++ b/src/libs/edge/relaylink.h
@@ -49,6 +49,10 @@
     std::size_t redirects = 0;
     /// At the source: share of a core of the subscriber, in percent.
     unsigned cpuPercent = 0;
+    /// At the source: bandwidth of the link of the subscriber in Mbit/s; 0 if it is not known.
+    unsigned linkMegabits = 0;
+    /// At the source: the leader serves the subscriber as its relay did not.
+    bool relayFailed = false;
     /// At the subscriber: the other VM has sent an update as a source.
     bool hasDelivered = false;
     /// At the subscriber: how long updates of the other VM are on their way.
--- a/src/libs/edge/relaysource.cpp
+++ b/src/libs/edge/relaysource.cpp
@@ -18,6 +18,7 @@
 #include <granting/recordcodec.h>
 #include <logging/log.h>
 #include <relay/framecodec.h>
+#include <relay/relaytree.h>
 
 #include <boost/leaf.hpp>
 #include <algorithm>
@@ -108,13 +109,14 @@
 
 std::vector<std::string> subscriberAddresses(const Node& node)
 {
-    std::vector<std::tuple<bool, unsigned, std::string>> ranked;
+    std::vector<std::tuple<bool, double, std::string>> ranked;
     for (auto it = node.relay.subscribers.begin(); it != node.relay.subscribers.end(); ++it) {
         ErrorCode error;
         const Tcp::endpoint endpoint = it->second->socket.remote_endpoint(error);
         if (!error)
-            ranked.emplace_back(
-                it->second->storeIsLocal, it->second->cpuPercent, endpoint.address().to_string());
+            ranked.emplace_back(it->second->storeIsLocal,
+                Relay::relayCapacity(it->second->cpuPercent, it->second->linkMegabits),
+                endpoint.address().to_string());
     }
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
     std::vector<std::string> addresses;
@@ -159,7 +161,6 @@
         sendFrame(node, link, frame);
 }
 
-/// Sends who the leader is, and which \a relay to subscribe to if it is not empty.
 void sendRedirect(Node& node, const LinkPtr& link, std::string relay)
 {
     const Granting::Leadership& leadership = node.leader.leadership;
@@ -200,6 +201,8 @@
     link->mayRelay = subscription.followsRedirects;
     link->isRedirected = subscription.isRedirected;
     link->cpuPercent = subscription.cpuPercent;
+    link->linkMegabits = subscription.linkMegabits;
+    link->relayFailed = subscription.relayFailed;
     link->subscribed = true;
     node.relay.subscribersChanged = true;
     node.relay.relayedMembersChanged = true;
@@ -207,6 +210,7 @@
     queueLeavingForSubscribers(node);
     sendKnownCrashes(node, link);
     sendFirstUpdate(node, link, subscription);
+    makeRoomFor(node, link);
 }
 
 /// Adds the requests that a subscriber has counted to those that this VM reports next.
--- a/src/libs/edge/relaysource.h
+++ b/src/libs/edge/relaysource.h
@@ -23,7 +23,7 @@
 std::vector<LinkPtr> subscribedLinks(const Node& node);
 
 /// Addresses of subscribers with a local store, which can relay to VMs with a remote store, or of all
-/// subscribers if there are none; those with a larger share of a core first. At most as many as a VM may need
+/// subscribers if there are none; those with more capacity first. At most as many as a VM may need
 /// to find one that is running.
 std::vector<std::string> subscriberAddresses(const Node& node);
 
@@ -32,6 +32,9 @@
 /// Sends \a records to all subscribers; without records the update is a heartbeat.
 void sendUpdateToSubscribers(Node& node, std::vector<Relay::RelayRecord> records);
 
+/// Sends who the leader is, and which \a relay to subscribe to if it is not empty.
+void sendRedirect(Node& node, const LinkPtr& link, std::string relay);
+
 /// Subscribes the VM at the other end of \a link and sends the records that it has missed. If this VM is not
 /// a source, it names the leader instead.
 void handleSubscription(Node& node, const LinkPtr& link, const Relay::Subscription& subscription);
--- a/src/libs/edge/relaytree.h
+++ b/src/libs/edge/relaytree.h
@@ -25,6 +25,10 @@
 /// On the leader: the address of the relay for a VM that asks to subscribe, or nothing if it is to be served.
 std::optional<std::string> findRelayFor(Node& node, const Relay::Subscription& subscription);
 
+/// On the leader: if it serves more VMs than it is to, redirects one that relays to no others and has clearly
+/// less capacity than \a newcomer.
+void makeRoomFor(Node& node, const LinkPtr& newcomer);
+
 /// Whether this VM relays to VMs that the leader has redirected to it.
 bool isRelay(const Node& node);
 
--- a/src/libs/edge/sourcelinks.cpp
+++ b/src/libs/edge/sourcelinks.cpp
@@ -63,6 +63,7 @@
     subscription.subscribers = static_cast<std::uint32_t>(relayedAddresses(node).size());
     subscription.relayFailed = hasRelayFailed(node);
     subscription.cpuPercent = static_cast<std::uint8_t>(std::clamp(node.settings.cpuShare * 100, 0.0, 255.0));
+    subscription.linkMegabits = node.settings.linkMegabits;
     node.relay.relayedMembersChanged = subscription.subscribers > 0;
     link->requestedAllReports = subscription.reports == 0;
     if (node.relay.sourceLink == link)
--- a/src/libs/granting/grantingconstants.h
+++ b/src/libs/granting/grantingconstants.h
@@ -19,6 +19,9 @@
 /// Spreads the attempts to acquire the leader lease, so that one VM, one with a large share of a core, is
 /// usually first.
 inline constexpr Utils::Duration maxLeaseAcquisitionJitter = std::chrono::milliseconds(600);
+/// How long before the end of a lease the VMs that may acquire it look at it more often: longer than their
+/// usual interval.
+inline constexpr Utils::Duration acquisitionNotice = std::chrono::milliseconds(300);
 /// Time between two attempts of a VM to acquire the lease, for each VM of the fleet, and its limit. The store
 /// takes some hundred appends a second to one topic.
 inline constexpr Utils::Duration acquisitionIntervalPerVm = std::chrono::milliseconds(25);
--- a/src/libs/granting/leadership.cpp
+++ b/src/libs/granting/leadership.cpp
@@ -69,6 +69,13 @@
     return Internal::isLeaseAcquisitionDue(leadership, jitter, now);
 }
 
+bool isAcquisitionNear(const Leadership& leadership, Utils::Instant now)
+{
+    const Utils::Instant end = Internal::leaseEnd(leadership);
+    return !leadership.term && now >= end - acquisitionNotice
+        && now < end + maxLeaseAcquisitionJitter + uninformedAcquisitionDelay;
+}
+
 bool isAcquisitionDeferred(
     const Leadership& leadership, std::size_t vmCount, bool isCandidate, Utils::Instant now)
 {
--- a/src/libs/granting/leadership.h
+++ b/src/libs/granting/leadership.h
@@ -47,6 +47,10 @@
 /// previous leader. \a jitter, from 0 to 1, differs between VMs.
 bool isAppendDue(const Leadership& leadership, double jitter, Utils::Instant now);
 
+/// Whether the lease can be acquired soon, or could be a moment ago. VMs act in the order of their jitter
+/// only if they look at the lease more often than the jitters differ.
+bool isAcquisitionNear(const Leadership& leadership, Utils::Instant now);
+
 /// Whether this VM does not try to acquire the lease yet. VMs that are no candidates leave it to those that
 /// are.
 ///
--- a/src/libs/platform/settingsfile.cpp
+++ b/src/libs/platform/settingsfile.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/leaf/error.hpp>
 
+#include <algorithm>
+
 #define TOML_EXCEPTIONS 0
 #include <toml++/toml.h>
 
@@ -107,6 +109,9 @@
     BOOST_LEAF_ASSIGN(settings.seeds, Internal::readSeeds(table));
     settings.isFirstStart = table.at_path("self.bootstrap").value_or(false);
     settings.cpuShare = table.at_path("self.limits.cpu_share").value_or(settings.cpuShare);
+    constexpr double maxLinkMegabits = 1e9;
+    settings.linkMegabits = static_cast<unsigned>(
+        std::clamp(table.at_path("self.limits.link_mbps").value_or(0.0), 0.0, maxLinkMegabits));
     settings.memoryMegabytes = table.at_path("self.limits.memory_mb").value_or(settings.memoryMegabytes);
     settings.maxFileDescriptors = table.at_path("self.limits.max_fds").value_or(settings.maxFileDescriptors);
     BOOST_LEAF_ASSIGN(settings.operatingLimits, Internal::readOperatingLimits(table));
--- a/src/libs/relay/framecodec.cpp
+++ b/src/libs/relay/framecodec.cpp
@@ -121,7 +121,7 @@
         subscription.configurations, subscription.reports, subscription.assignments,
         subscription.storeIsLocal, optionalText(subscription.zone.value), subscription.followsRedirects,
         subscription.isRedirected, subscription.subscribers, subscription.relayFailed,
-        subscription.cpuPercent)
+        subscription.cpuPercent, subscription.linkMegabits)
         .Union();
 }
 
@@ -234,6 +234,7 @@
     subscription.subscribers = packed.subscribers();
     subscription.relayFailed = packed.relay_failed();
     subscription.cpuPercent = packed.cpu_percent();
+    subscription.linkMegabits = packed.link_mbps();
     return subscription;
 }
 
--- a/src/libs/relay/relaytree.cpp
+++ b/src/libs/relay/relaytree.cpp
@@ -20,6 +20,23 @@
     return isSameRegion ? 1 : 2;
 }
 
+/// Processor and link that the leader of a large fleet needs.
+constexpr double leaderCpuPercent = 30;
+constexpr double leaderLinkMegabits = 100;
+
+/// A VM with this much more capacity takes the place of another one. VMs of about the same size don't.
+constexpr double replacementFactor = 2;
+
+double capacityOf(const RelayCandidate& candidate)
+{
+    return relayCapacity(candidate.cpuPercent, candidate.linkMegabits);
+}
+
+bool hasClearlyLess(const RelayCandidate& candidate, double capacity)
+{
+    return capacity > 0 && capacityOf(candidate) * replacementFactor <= capacity;
+}
+
 } // namespace Internal
 
 std::optional<std::string> chooseRelay(const std::vector<RelayCandidate>& candidates,
@@ -40,4 +57,29 @@
     return best->address;
 }
 
+double relayCapacity(unsigned cpuPercent, unsigned linkMegabits)
+{
+    const double processor = cpuPercent / Internal::leaderCpuPercent;
+    return linkMegabits > 0 ? std::min(processor, linkMegabits / Internal::leaderLinkMegabits) : processor;
+}
+
+bool deservesDirectPlace(const std::vector<RelayCandidate>& served, double capacity)
+{
+    return std::any_of(served.begin(), served.end(), [capacity](const RelayCandidate& candidate) {
+        return Internal::hasClearlyLess(candidate, capacity);
+    });
+}
+
+std::optional<std::size_t> chooseReplaced(const std::vector<RelayCandidate>& served, double capacity)
+{
+    const auto rank = [](const RelayCandidate& candidate) {
+        return std::tuple(candidate.subscribers > 0, Internal::capacityOf(candidate), candidate.address);
+    };
+    const auto weakest = std::min_element(served.begin(), served.end(),
+        [&rank](const RelayCandidate& one, const RelayCandidate& other) { return rank(one) < rank(other); });
+    if (weakest == served.end() || weakest->subscribers > 0 || !Internal::hasClearlyLess(*weakest, capacity))
+        return std::nullopt;
+    return static_cast<std::size_t>(std::distance(served.begin(), weakest));
+}
+
 } // namespace Relay
--- a/src/libs/relay/subscription.h
+++ b/src/libs/relay/subscription.h
@@ -26,6 +26,8 @@
     bool relayFailed = false;
     /// Share of a core of the VM, in percent.
     std::uint8_t cpuPercent = 0;
+    /// Bandwidth of the link of the VM in Mbit/s; 0 if it is not known.
+    std::uint32_t linkMegabits = 0;
 
     bool operator==(const Subscription&) const = default;
 };
--- a/src/libs/routing/vmsettings.h
+++ b/src/libs/routing/vmsettings.h
@@ -34,6 +34,8 @@
     std::uint16_t upstreamPortOffset = 0;
     /// Fraction of a CPU core that is available to this VM.
     double cpuShare = 0.2;
+    /// Bandwidth of the link of this VM in Mbit/s; 0 if it is not known.
+    unsigned linkMegabits = 0;
     unsigned memoryMegabytes = 256;
     unsigned maxFileDescriptors = 1024;
     OperatingLimits operatingLimits;
--- a/tests/auto/edge/tst_latechanges.cpp
+++ b/tests/auto/edge/tst_latechanges.cpp
@@ -139,3 +139,48 @@
         [&node] { return node.clusterView.routeTable->configuration.version == 2 && !isUsable(node, "i-1"); },
         largeFleetChangeTimeout));
 }
+
+TEST_CASE(
+    "VMs with more capacity are next to the leader, whatever the order in which VMs come", "[latechanges]")
+{
+    // Guards against a fleet whose relays, and whose next leader, are the VMs that came first: changes waited
+    // for seconds on the link of a leader with a tenth of a core.
+    struct Row {
+        const char* name;
+        std::vector<double> cpuShares;
+        std::size_t strongVm;
+        /// VMs that the leader serves in the end.
+        std::size_t directVms;
+    };
+    const Row row = GENERATE(values<Row>({
+        { "the strong VM comes first", { 0.5, 0.1, 0.1 }, 1, 2 },
+        { "the strong VM comes last", { 0.1, 0.1, 0.5 }, 3, 2 },
+        { "all others relay already", { 0.1, 0.1, 0.1, 0.1, 0.5 }, 5, 3 },
+    }));
+    INFO(row.name);
+    TestEnvironment environment;
+    addUpstream(environment, "i-1", "plain");
+    Edge::Node& first = startReadyVm(environment).node;
+    first.relay.maxDirectSubscribers = 2;
+    REQUIRE(runUntil(environment, [&first] { return isLeading(first); }));
+    for (const double cpuShare : row.cpuShares) {
+        Edge::Node& node = startVmOfLargeFleet(environment).node;
+        node.relay.maxDirectSubscribers = 2;
+        node.settings.cpuShare = cpuShare;
+        REQUIRE(runUntil(environment, [&node] { return node.relay.isSubscribed; }));
+    }
+    runFor(environment, 1500ms);
+    CHECK(std::all_of(environment.vms.begin() + 1, environment.vms.end(),
+        [](const std::unique_ptr<Edge::Service>& vm) { return vm->node.relay.isSubscribed; }));
+    const Edge::Node& strong = nodeOf(environment, row.strongVm);
+    CHECK(strong.relay.sourceKind == Edge::SourceKind::Leader);
+    CHECK(Edge::Internal::subscribedLinks(first).size() == row.directVms);
+    REQUIRE(runUntil(environment, [&strong] { return !strong.relay.peers.empty(); }));
+    CHECK(Edge::Internal::subscriberAddresses(first).front() == strong.settings.address);
+    killVm(environment, leader);
+    REQUIRE(runUntil(environment, [&environment] {
+        return std::any_of(environment.vms.begin() + 1, environment.vms.end(),
+            [](const std::unique_ptr<Edge::Service>& vm) { return isLeading(vm->node); });
+    }));
+    CHECK(isLeading(strong));
+}
--- a/tests/auto/relay/tst_relaytree.cpp
+++ b/tests/auto/relay/tst_relaytree.cpp
@@ -61,3 +61,34 @@
     for (const RelayCandidate& candidate : candidates)
         CHECK(candidate.subscribers <= maxRelaySubscribers);
 }
+
+TEST_CASE(
+    "A VM with clearly more capacity takes the place of the weakest that relays to no others", "[relaytree]")
+{
+    struct Row {
+        const char* name;
+        std::vector<RelayCandidate> served;
+        double capacity;
+        bool isDirect;
+        std::optional<std::size_t> replaced;
+    };
+    const RelayCandidate weak { "weak", { "a1" }, 0, 10, 20 };
+    const RelayCandidate relayingWeak { "relaying", { "a1" }, 3, 10, 20 };
+    const RelayCandidate strong { "strong", { "a1" }, 0, 50, 200 };
+    const RelayCandidate unknownLink { "former build", { "a1" }, 0, 50, 0 };
+    const double weakCapacity = relayCapacity(10, 20);
+    const double strongCapacity = relayCapacity(50, 200);
+    const Row row = GENERATE_COPY(values<Row>({
+        { "nobody is served", {}, strongCapacity, false, std::nullopt },
+        { "a weak VM, among weak ones", { weak, weak }, weakCapacity, false, std::nullopt },
+        { "a strong VM, among strong ones", { strong, unknownLink }, strongCapacity, false, std::nullopt },
+        { "a strong VM", { strong, weak, relayingWeak }, strongCapacity, true, 1 },
+        { "a strong VM, while all weak ones relay", { strong, relayingWeak }, strongCapacity, true,
+            std::nullopt },
+        { "a strong processor on a weak link", { weak }, relayCapacity(50, 20), false, std::nullopt },
+        { "a VM of a build that does not say", { weak }, relayCapacity(0, 0), false, std::nullopt },
+    }));
+    INFO(row.name);
+    CHECK(deservesDirectPlace(row.served, row.capacity) == row.isDirect);
+    CHECK(chooseReplaced(row.served, row.capacity) == row.replaced);
+}
