Read the store again within a second once a missed change is due

The read got no connection, and a VM of a large fleet that reads for itself only leaves the next read for 2.5 s to others, one topic at a time. Now that interval is 1 s once a change that the VM may have missed is due.

--- a/src/libs/relay/sourcesearch.cpp
+++ b/src/libs/relay/sourcesearch.cpp
@@ -25,6 +25,10 @@
 /// They become sources a few hundred milliseconds after it.
 constexpr Utils::Duration reserveRetryInterval = std::chrono::milliseconds(2500);
 
+/// The same once a change that it may have missed is due: the store, or the link to it, may have failed for
+/// this VM only.
+constexpr Utils::Duration dueRetryInterval = std::chrono::milliseconds(1000);
+
 /// A VM needs some 300 ms to read the topics and to become the leader.
 constexpr Utils::Duration maxFirstStartDelay = std::chrono::milliseconds(3000);
 
@@ -54,7 +58,10 @@
 
 Utils::Duration storeRetryInterval(const SearchSituation& situation, Utils::Duration usual)
 {
-    return situation.isLargeFleet && !situation.isStoreReader ? Internal::reserveRetryInterval : usual;
+    if (!situation.isLargeFleet || situation.isStoreReader)
+        return usual;
+    return situation.timeLeft > Utils::Duration::zero() ? Internal::reserveRetryInterval
+                                                        : Internal::dueRetryInterval;
 }
 
 Utils::Duration firstStartDelay(double acquisitionJitter)
--- a/tests/auto/relay/tst_sourcesearch.cpp
+++ b/tests/auto/relay/tst_sourcesearch.cpp
@@ -51,6 +51,17 @@
     CHECK(storeRetryInterval({ true, true, false, 1 }, usual) >= 4 * usual);
 }
 
+TEST_CASE("A VM of a large fleet whose read has failed reads again before a change is long overdue",
+    "[sourcesearch]")
+{
+    // Guards against a VM that reads the store in time, fails, and leaves the next read for 2.5 s to others.
+    SearchSituation situation { true, true, false, 1 };
+    situation.timeLeft = 0ms;
+    CHECK(storeRetryInterval(situation, 600ms) <= 1000ms);
+    situation.timeLeft = 100ms;
+    CHECK(storeRetryInterval(situation, 600ms) > 1000ms);
+}
+
 TEST_CASE("At the first start, VMs that are to lead read the store first", "[sourcesearch]")
 {
     CHECK(firstStartDelay(0) == 0ms);
