Leave a source whose records nobody confirms, and count the subscribers of VMs that come back

Cause: it had three subscribers, subscribed again after its link had gone silent, and was redirected by the leader half a second later to make room, as a new link counts no subscribers until the first report. So two relays became the source of each other or of none; each calls the other one fresh. Now the number of subscribers in a subscription counts at once, and a source that says that it is fresh is taken for it only while its records were confirmed within the time that a change may take (records_age_ms grows in a ring, as nobody confirms them).

--- a/src/libs/edge/relaylink.h
+++ b/src/libs/edge/relaylink.h
@@ -45,7 +45,8 @@
     bool isRedirected = false;
     /// At the source: addresses of the VMs that receive records through the subscriber.
     std::vector<std::string> relayedMembers;
-    /// At the source: VMs that were redirected to the subscriber since it last reported relayedMembers.
+    /// At the source: VMs that the subscriber relays to and has not reported in relayedMembers: those that it
+    /// had when it subscribed, and those that were redirected to it since it last reported.
     std::size_t redirects = 0;
     /// At the source: share of a core of the subscriber, in percent.
     unsigned cpuPercent = 0;
--- a/src/libs/edge/relaysource.cpp
+++ b/src/libs/edge/relaysource.cpp
@@ -203,6 +203,8 @@
     link->cpuPercent = subscription.cpuPercent;
     link->linkMegabits = subscription.linkMegabits;
     link->relayFailed = subscription.relayFailed;
+    // Until the subscriber reports who they are.
+    link->redirects = subscription.subscribers;
     link->subscribed = true;
     node.relay.subscribersChanged = true;
     node.relay.relayedMembersChanged = true;
--- a/src/libs/edge/relaysubscriber.cpp
+++ b/src/libs/edge/relaysubscriber.cpp
@@ -274,6 +274,10 @@
     connectTo(node, leader.vm, leader.loadReportEndpoint);
 }
 
+/// Whether a source whose update says that it is fresh has newer records in time. Its own source may have
+/// lost the one that reads the store without noticing.
+bool hasRecentRecords(const Node& node) { return now() - recordsConfirmedAt(node) < changeTimeout(node); }
+
 void handleUpdate(Node& node, const LinkPtr& link, const Relay::Update& update)
 {
     if (update.senderIsSource && update.vmCount > 0)
@@ -329,7 +333,6 @@
     }
     link->hasDelivered = true;
     node.relay.sourceHops = update.hops;
-    node.relay.sourceIsFresh = update.isFresh;
     node.relay.sourceUpdatedAt = now();
     // A former build only says whether it reads the store.
     if (update.configurationAge || update.isFresh)
@@ -339,8 +342,9 @@
     if (update.recordsAge || update.isFresh)
         node.relay.recordsConfirmedAt = std::max(node.relay.recordsConfirmedAt,
             now() - update.recordsAge.value_or(Utils::Duration::zero()) - node.relay.sourceDelay);
+    node.relay.sourceIsFresh = update.isFresh && hasRecentRecords(node);
     recordSourceProgress(node, *link, update);
-    if (update.isFresh) {
+    if (node.relay.sourceIsFresh) {
         node.relay.staleSourceId = 0;
         if (node.clusterView.routeTable && node.clusterView.directoryLoaded)
             switchToSource(node, *link);
--- a/tests/auto/edge/tst_latechanges.cpp
+++ b/tests/auto/edge/tst_latechanges.cpp
@@ -2,6 +2,7 @@
 
 #include <edge/clock.h>
 #include <edge/relaysource.h>
+#include <edge/relaysubscriber.h>
 #include <edge/relaytree.h>
 
 #include <catch2/catch.hpp>
@@ -184,3 +185,52 @@
     }));
     CHECK(isLeading(strong));
 }
+
+TEST_CASE(
+    "A VM leaves a source that calls itself fresh although nobody confirms its records", "[latechanges]")
+{
+    // Guards against VMs that have become the source of each other: each called the other one fresh, and a
+    // configuration was missed for good.
+    TestEnvironment environment;
+    addUpstream(environment, "i-1", "plain");
+    startTree(environment);
+    Edge::Node& source = nodeOf(environment, relay);
+    source.relay.timer.cancel();
+    source.relay.isApplyingUpdate = true;
+    publishConfiguration(environment, 2);
+    Edge::Node& node = nodeOf(environment, leaf);
+    const Edge::Internal::LinkPtr link = node.relay.sourceLink;
+    const std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
+    CHECK(runUntil(
+        environment,
+        [&] {
+            Relay::Update update = Edge::Internal::makeUpdate(source, {});
+            update.isFresh = true;
+            update.recordsAge = std::chrono::duration_cast<Utils::Duration>(
+                1000ms + (std::chrono::steady_clock::now() - start));
+            if (node.relay.sourceLink == link) {
+                node.relay.lastReceivedAt = Edge::now();
+                Edge::Internal::handleUpdate(node, link, update);
+            }
+            return node.clusterView.routeTable->configuration.version == 2;
+        },
+        largeFleetChangeTimeout + 1000ms));
+}
+
+TEST_CASE("The leader leaves VMs with subscribers in their place, also when they have just come back",
+    "[latechanges]")
+{
+    // Guards against relays that are redirected to others: their subscribers were a level too deep, or a
+    // relay got its records through one of them.
+    TestEnvironment environment;
+    addUpstream(environment, "i-1", "plain");
+    startTree(environment);
+    Edge::Node& first = nodeOf(environment, leader);
+    nodeOf(environment, relay).settings.cpuShare = 0.1;
+    Edge::Internal::closeLink(nodeOf(environment, relay),
+        Edge::Internal::LinkPtr(nodeOf(environment, relay).relay.sourceLink), "test");
+    REQUIRE(runUntil(environment, [&] { return nodeOf(environment, relay).relay.isSubscribed; }));
+    const std::vector<Edge::Internal::LinkPtr> links = Edge::Internal::subscribedLinks(first);
+    REQUIRE(links.size() == 1);
+    CHECK(links.front()->redirects + links.front()->relayedMembers.size() == 1);
+}
