--- a/src/libs/platform/configurationdecoder.cpp
+++ b/src/libs/platform/configurationdecoder.cpp
@@ -67,6 +67,21 @@
     return parts;
 }
 
+/// Decodes "home_regions" of an action. An empty list, as well as none, allows all regions.
+leaf::result<std::vector<Utils::RegionId>> decodeHomeRegions(const json::object& action)
+{
+    std::vector<Utils::RegionId> regions;
+    if (!action.if_contains("home_regions"))
+        return regions;
+    BOOST_LEAF_AUTO(names, readArray(action, "home_regions"));
+    for (const json::value& name : *names) {
+        if (!name.is_string() || name.get_string().empty())
+            return leaf::new_error(DecodeError::WrongType, FieldName { "home_regions" });
+        regions.push_back({ std::string(name.get_string()) });
+    }
+    return regions;
+}
+
 leaf::result<Routing::Route> decodeRule(const json::object& rule, const std::string& host)
 {
     Routing::Route route;
@@ -89,6 +104,7 @@
     BOOST_LEAF_ASSIGN(route.timeout, readDuration(*action, "timeout"));
     BOOST_LEAF_AUTO(attempts, readUnsigned(*action, "max_attempts"));
     route.maxAttempts = std::max(clampedToUnsigned(attempts), 1U);
+    BOOST_LEAF_ASSIGN(route.homeRegions, decodeHomeRegions(*action));
     return route;
 }
 
@@ -123,6 +139,13 @@
     if (object.if_contains("warm")) {
         BOOST_LEAF_ASSIGN(service.warmUp, readDuration(object, "warm"));
     }
+    if (object.if_contains("cold")) {
+        BOOST_LEAF_ASSIGN(service.coldTime, readDuration(object, "cold"));
+    }
+    // Zero, as well as none, means that a cold upstream is not limited.
+    BOOST_LEAF_AUTO(coldRate, readAmount(object, "cold_per_s"));
+    if (coldRate > 0)
+        service.coldRequestsPerSecond = coldRate;
     return service;
 }
 
--- a/src/libs/platform/headers.cpp
+++ b/src/libs/platform/headers.cpp
@@ -33,6 +33,10 @@
     return number;
 }
 
+/// The load of an upstream whose work takes as long as usual.
+constexpr double percentOfUsual = 100;
+
+/// Parses "running,waiting,slots", to which upstreams that share their machines add how long work takes.
 std::optional<Routing::ReportedLoad> parseLoad(std::string_view text)
 {
     const std::size_t first = text.find(',');
@@ -41,10 +45,19 @@
         return std::nullopt;
     const std::optional<unsigned> running = parseNumber<unsigned>(text.substr(0, first));
     const std::optional<unsigned> waiting = parseNumber<unsigned>(text.substr(first + 1, second - first - 1));
-    const std::optional<unsigned> slots = parseNumber<unsigned>(text.substr(second + 1));
+    const std::size_t third = text.find(',', second + 1);
+    const std::optional<unsigned> slots = parseNumber<unsigned>(
+        text.substr(second + 1, third == std::string_view::npos ? third : third - second - 1));
     if (!running || !waiting || !slots)
         return std::nullopt;
-    return Routing::ReportedLoad { *running, *waiting, *slots };
+    Routing::ReportedLoad load { *running, *waiting, *slots };
+    if (third == std::string_view::npos)
+        return load;
+    const std::optional<double> percent = parseNumber<double>(text.substr(third + 1));
+    if (!percent || !std::isfinite(*percent) || *percent <= 0)
+        return std::nullopt;
+    load.workFactor = *percent / percentOfUsual;
+    return load;
 }
 
 void parseRequestLimit(const HttpFields& fields, ServerHeaders& serverHeaders)
--- a/src/libs/platform/jsonfields.cpp
+++ b/src/libs/platform/jsonfields.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/leaf/error.hpp>
 
+#include <cmath>
+
 namespace Platform::Internal {
 
 namespace json = boost::json;
@@ -77,6 +79,19 @@
     return static_cast<std::uint64_t>(value->get_int64());
 }
 
+leaf::result<double> readAmount(const json::object& object, std::string_view name)
+{
+    const json::value* value = object.if_contains(name);
+    if (!value)
+        return 0.0;
+    if (!value->is_number())
+        return makeError(DecodeError::WrongType, name);
+    const double amount = value->to_number<double>();
+    if (!std::isfinite(amount) || amount < 0)
+        return makeError(DecodeError::OutOfRange, name);
+    return amount;
+}
+
 leaf::result<Utils::Duration> readDuration(const json::object& object, std::string_view name)
 {
     BOOST_LEAF_AUTO(text, readString(object, name));
--- a/src/libs/platform/jsonfields.h
+++ b/src/libs/platform/jsonfields.h
@@ -34,6 +34,9 @@
 /// Fails if the field is no integer or is negative.
 boost::leaf::result<std::uint64_t> readUnsigned(const boost::json::object& object, std::string_view name);
 
+/// Returns 0 if the field is absent. Fails if it is no number, negative or not finite.
+boost::leaf::result<double> readAmount(const boost::json::object& object, std::string_view name);
+
 boost::leaf::result<Utils::Duration> readDuration(const boost::json::object& object, std::string_view name);
 
 /// Returns false if the field is absent.
--- a/src/libs/platform/settingsfile.cpp
+++ b/src/libs/platform/settingsfile.cpp
@@ -7,6 +7,7 @@
 #include <boost/leaf/error.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 #define TOML_EXCEPTIONS 0
 #include <toml++/toml.h>
@@ -58,6 +59,15 @@
     return {};
 }
 
+/// Returns \a fallback if the field is absent. Fails if it is negative or not finite.
+leaf::result<double> readAmount(const toml::table& table, std::string_view path, double fallback)
+{
+    const double amount = table.at_path(path).value_or(fallback);
+    if (!std::isfinite(amount) || amount < 0)
+        return leaf::new_error(DecodeError::OutOfRange, FieldName { std::string(path) });
+    return amount;
+}
+
 leaf::result<Routing::OperatingLimits> readOperatingLimits(const toml::table& table)
 {
     Routing::OperatingLimits operatingLimits;
@@ -72,6 +82,11 @@
         = table.at_path("terms.bounds.retry_ratio").value_or(operatingLimits.retryRatio);
     operatingLimits.retrySlack
         = table.at_path("terms.bounds.retry_slack").value_or(operatingLimits.retrySlack);
+    BOOST_LEAF_CHECK(readOptionalDuration(table, "terms.bounds.evac", operatingLimits.evacuationTimeout));
+    BOOST_LEAF_ASSIGN(operatingLimits.coldExcessFactor,
+        readAmount(table, "terms.bounds.cold_excess", operatingLimits.coldExcessFactor));
+    BOOST_LEAF_ASSIGN(operatingLimits.coldExcessRequests,
+        readAmount(table, "terms.bounds.cold_slack", operatingLimits.coldExcessRequests));
     return operatingLimits;
 }
 
--- a/src/libs/routing/operatinglimits.h
+++ b/src/libs/routing/operatinglimits.h
@@ -20,6 +20,12 @@
     double retrySlack = 60;
     /// Window over which retries are counted.
     Utils::Duration retryWindow = std::chrono::seconds(10);
+    /// Factor by which the requests that reach a cold upstream in one second may exceed its rate.
+    double coldExcessFactor = 1;
+    /// Requests that may reach a cold upstream in one second beyond that.
+    double coldExcessRequests = 0;
+    /// Time after which an evacuated availability zone must receive no new requests.
+    Utils::Duration evacuationTimeout = std::chrono::seconds(5);
 
     bool operator==(const OperatingLimits&) const = default;
 };
--- a/src/libs/routing/route.h
+++ b/src/libs/routing/route.h
@@ -26,6 +26,8 @@
     unsigned priority = 0;
     /// At least one; the sum of the weights is greater than 0.
     std::vector<RouteDestination> destinations;
+    /// Regions whose upstreams may serve the requests; empty if all may.
+    std::vector<Utils::RegionId> homeRegions;
 
     bool operator==(const Route&) const = default;
 };
--- a/src/libs/routing/service.h
+++ b/src/libs/routing/service.h
@@ -3,6 +3,7 @@
 #include <utils/ids.h>
 #include <utils/time.h>
 
+#include <optional>
 #include <string>
 
 namespace Routing {
@@ -17,6 +18,10 @@
     bool keyed = false;
     /// How long requests for a key are slow at an upstream that received the key without a handover.
     Utils::Duration warmUp {};
+    /// How long an upstream stays cold after its start.
+    Utils::Duration coldTime {};
+    /// Requests per second that a cold upstream takes from all VMs together; empty if it is not limited.
+    std::optional<double> coldRequestsPerSecond;
 
     bool operator==(const Service&) const = default;
 };
--- a/tests/auto/platform/tst_configurationdecoder.cpp
+++ b/tests/auto/platform/tst_configurationdecoder.cpp
@@ -117,3 +117,51 @@
     CHECK(configuration.routes.front().maxAttempts > 1);
     CHECK(configuration.services.at({ "s2" }).maxConnections > 1);
 }
+
+TEST_CASE("The home regions of a route are decoded", "[configurationdecoder]")
+{
+    struct Row {
+        const char* regions;
+        std::vector<Utils::RegionId> homes;
+        std::optional<DecodeError> error;
+    };
+    const Row row = GENERATE(values<Row>({
+        { "[]", {}, std::nullopt },
+        { R"(["north"])", { { "north" } }, std::nullopt },
+        { R"(["north","south"])", { { "north" }, { "south" } }, std::nullopt },
+        { R"("north")", {}, DecodeError::WrongType },
+        { "[1]", {}, DecodeError::WrongType },
+        { R"([""])", {}, DecodeError::WrongType },
+    }));
+    INFO(row.regions);
+    const std::string action = R"({"service":"s1","timeout":"1s","max_attempts":2,"home_regions":)"
+        + std::string(row.regions) + "}";
+    const std::string text = head + rule("\"safe\"", action) + tail;
+    CHECK(PlatformTest::decodeErrorOf([&] { return decodeConfiguration(text); }) == row.error);
+    if (!row.error)
+        CHECK(decodeConfiguration(text).value().routes.front().homeRegions == row.homes);
+}
+
+TEST_CASE("The rate of a cold upstream is decoded", "[configurationdecoder]")
+{
+    struct Row {
+        const char* fields;
+        std::optional<double> perSecond;
+        std::optional<DecodeError> error;
+    };
+    const Row row = GENERATE(values<Row>({
+        { R"("cold":"3s","cold_per_s":5.4)", 5.4, std::nullopt },
+        { R"("cold":"3s","cold_per_s":5)", 5, std::nullopt },
+        { R"("cold":"3s","cold_per_s":0)", std::nullopt, std::nullopt },
+        { R"("cold":"3s")", std::nullopt, std::nullopt },
+        { R"("cold_per_s":-1)", std::nullopt, DecodeError::OutOfRange },
+        { R"("cold_per_s":"5")", std::nullopt, DecodeError::WrongType },
+        { R"("cold":3)", std::nullopt, DecodeError::WrongType },
+    }));
+    INFO(row.fields);
+    std::string text = head + splitRule + tail;
+    text.replace(text.find("\"max_conns\":9"), 13, "\"max_conns\":9," + std::string(row.fields));
+    CHECK(PlatformTest::decodeErrorOf([&] { return decodeConfiguration(text); }) == row.error);
+    if (!row.error)
+        CHECK(decodeConfiguration(text).value().services.at({ "s2" }).coldRequestsPerSecond == row.perSecond);
+}
--- a/tests/auto/platform/tst_headers.cpp
+++ b/tests/auto/platform/tst_headers.cpp
@@ -50,6 +50,32 @@
     CHECK_FALSE(serverHeaders.notRun);
 }
 
+TEST_CASE("A load report has three or four figures", "[headers]")
+{
+    struct Row {
+        const char* text;
+        std::optional<Routing::ReportedLoad> load;
+    };
+    const Row row = GENERATE(values<Row>({
+        { "3,1,8", Routing::ReportedLoad { 3, 1, 8 } },
+        { "3,0,8,100", Routing::ReportedLoad { 3, 0, 8, 1.0 } },
+        { "4,16,4,312.5", Routing::ReportedLoad { 4, 16, 4, 3.125 } },
+        { "3,1", std::nullopt },
+        { "3,1,8,", std::nullopt },
+        { "3,1,8,0", std::nullopt },
+        { "3,1,8,-100", std::nullopt },
+        { "3,1,8,nan", std::nullopt },
+        { "3,1,8,100,1", std::nullopt },
+        { "3,-1,8,100", std::nullopt },
+        { "3,1,x,100", std::nullopt },
+        { "", std::nullopt },
+    }));
+    INFO(row.text);
+    HttpFields fields;
+    fields.set("X-Server-Load", row.text);
+    CHECK(parseServerHeaders(200, fields).load == row.load);
+}
+
 TEST_CASE("Only status 421 and the header X-Not-Executed say that a request was not executed", "[headers]")
 {
     struct Row {
--- a/tests/auto/platform/tst_settingsfile.cpp
+++ b/tests/auto/platform/tst_settingsfile.cpp
@@ -38,6 +38,9 @@
 hold_max = "10000ms"
 retry_ratio = 0.25
 retry_slack = 64
+cold_excess = 1.5
+cold_slack = 8
+evac = "4s"
 )";
 
 } // namespace
@@ -60,6 +63,9 @@
     CHECK(settings.operatingLimits.drainTimeout == 2500ms);
     CHECK(settings.operatingLimits.retryRatio == 0.25);
     CHECK(settings.operatingLimits.retrySlack == 64);
+    CHECK(settings.operatingLimits.coldExcessFactor == 1.5);
+    CHECK(settings.operatingLimits.coldExcessRequests == 8);
+    CHECK(settings.operatingLimits.evacuationTimeout == 4s);
 }
 
 TEST_CASE("Invalid settings are reported", "[settingsfile]")
@@ -77,6 +83,8 @@
         { "seed without port", "10.2.0.42:8649", "10.2.0.42", DecodeError::OutOfRange },
         { "seed that is no text", "\"10.2.0.42:8649\"", "7", DecodeError::WrongType },
         { "time without unit", "\"6s\"", "\"6\"", DecodeError::OutOfRange },
+        { "negative factor", "cold_excess = 1.5", "cold_excess = -1", DecodeError::OutOfRange },
+        { "factor that is not finite", "cold_slack = 8", "cold_slack = inf", DecodeError::OutOfRange },
         { "no TOML", "[self]", "[self", DecodeError::Unreadable },
     }));
     INFO(row.name);
