Ask two upstreams for their load before a request is placed (trial)

Reports of load are older than a request lasts where many VMs share many upstreams. The health path of upstreams that state how long work takes is asked instead.

--- a/src/libs/edge/exchange.h
+++ b/src/libs/edge/exchange.h
@@ -3,6 +3,7 @@
 #include <edge/forwardedrequest.h>
 #include <edge/guardedtimer.h>
 #include <edge/localresponse.h>
+#include <edge/probing.h>
 #include <platform/callerheaders.h>
 #include <platform/storecalls.h>
 #include <routing/routetable.h>
@@ -22,6 +23,7 @@
         : deadlineTimer(context)
         , holderWaitTimer(context)
         , forwardTimer(context)
+        , probing(context)
     {
     }
 
@@ -79,6 +81,7 @@
     GuardedTimer holderWaitTimer;
     /// Expires when the request may be given to a third VM.
     GuardedTimer forwardTimer;
+    Probing probing;
 };
 
 } // namespace Edge
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -11,6 +11,7 @@
 #include <edge/forwardingheaders.h>
 #include <edge/leaving.h>
 #include <edge/limitedsends.h>
+#include <edge/loadprobes.h>
 #include <edge/pauses.h>
 #include <edge/peerforwarding.h>
 #include <edge/upstreamreach.h>
@@ -56,6 +57,7 @@
     cancelTimer(exchange->deadlineTimer);
     cancelTimer(exchange->holderWaitTimer);
     cancelTimer(exchange->forwardTimer);
+    endProbing(*exchange);
     node.traffic.exchanges.erase(exchange->id);
     releaseRequestBody(node, *exchange);
 }
@@ -219,6 +221,9 @@
         respondLocally(node, exchange, LocalResponseReason::LimitReached, *limitDelay);
         return;
     }
+    if (probeCandidates(node, exchange, candidates, at))
+        return;
+    keepProbed(*exchange, candidates);
     const std::optional<Balancing::Placement> placement
         = Balancing::chooseUpstream(candidates, makePlacementRequest(node, *exchange), at);
     if (!placement) {
@@ -254,6 +259,7 @@
     const Routing::DirectoryEntry& entry = node.clusterView.directory.entries.at(upstream);
     ++exchange->attemptCount;
     exchange->triedUpstreams.insert(upstream);
+    endProbing(*exchange);
     exchange->lastUpstream = upstream;
     exchange->attemptStartedAt = at;
     exchange->upstreamVanishedAt.reset();
