--- a/src/libs/edge/loadprobes.cpp
+++ b/src/libs/edge/loadprobes.cpp
@@ -4,6 +4,7 @@
 #include <edge/exchangesteps.h>
 #include <edge/loadprobes.h>
 #include <edge/sockets.h>
+#include <edge/upstreamreach.h>
 #include <platform/headers.h>
 #include <platform/healthcalls.h>
 #include <utils/hash.h>
