Let the work factor age towards the usual one of the upstream, prefer fewer upstreams (trial)

The fourth figure of a load report has the speed of the upstream in it (70, 160), not only the noise of its machine, so that ageing towards 1 forgets the speed. Fewer preferred upstreams keep connections in use.

--- a/src/libs/balancing/loadmodel.cpp
+++ b/src/libs/balancing/loadmodel.cpp
@@ -27,24 +27,32 @@
     load.awaitingResponseSince = load.outstanding > 0 ? std::optional<Utils::Instant>(now) : std::nullopt;
 }
 
+void recordWorkFactor(UpstreamLoad& load, double workFactor)
+{
+    load.workFactor = workFactor;
+    const double usual = load.usualWorkFactor.value_or(workFactor);
+    load.usualWorkFactor = usual + (workFactor - usual) * sampleWeight;
+}
+
 void recordReportedLoad(
     UpstreamLoad& load, ServiceStats& stats, const Routing::ReportedLoad& reported, Utils::Instant now)
 {
     const double total = static_cast<double>(reported.running) + reported.waiting;
     load.otherVmRequests = std::max(0.0, total - load.outstanding);
     load.loadReportedAt = now;
-    load.workFactor = reported.workFactor.value_or(1);
+    if (reported.workFactor)
+        recordWorkFactor(load, *reported.workFactor);
     stats.reportsWorkFactor = stats.reportsWorkFactor || reported.workFactor.has_value();
     stats.meanOtherVmRequests += (load.otherVmRequests - stats.meanOtherVmRequests) * sampleWeight / 2;
 }
 
-/// The work factor that the upstream has reported, closer to 1 the older the report is.
+/// The work factor that the upstream has reported, closer to its usual one the older the report is.
 double estimateWorkFactor(const UpstreamLoad& load, Utils::Instant now)
 {
-    if (load.workFactor == 1)
+    if (!load.usualWorkFactor)
         return 1;
     const double halfLives = std::chrono::duration<double>(now - load.loadReportedAt) / workFactorHalfLife;
-    return 1 + (load.workFactor - 1) * std::exp2(-halfLives);
+    return *load.usualWorkFactor + (load.workFactor - *load.usualWorkFactor) * std::exp2(-halfLives);
 }
 
 void eject(UpstreamLoad& load, Utils::Instant now)
--- a/src/libs/balancing/probetargets.h
+++ b/src/libs/balancing/probetargets.h
@@ -14,9 +14,9 @@
 /// How many upstreams of a service a VM prefers, counted from the nearest on. Few enough for connections to
 /// stay in use, enough to spread the VMs of a zone evenly.
 struct PreferredCounts {
-    std::size_t sameZone = 10;
-    std::size_t sameRegion = 14;
-    std::size_t all = 16;
+    std::size_t sameZone = 6;
+    std::size_t sameRegion = 9;
+    std::size_t all = 10;
 };
 
 /// Number of upstreams that are asked at a time.
--- a/src/libs/balancing/upstreamload.h
+++ b/src/libs/balancing/upstreamload.h
@@ -16,6 +16,8 @@
     Utils::Instant loadReportedAt {};
     /// How much longer work took there than usual at that time, as a factor.
     double workFactor = 1;
+    /// Mean of the reported work factors; empty before the first.
+    std::optional<double> usualWorkFactor {};
     /// Latency relative to the average upstream of the service; above 1 if this one is slower.
     double slowdownFactor = 1;
     /// Failures since the last successful response.
