--- a/src/libs/balancing/loadmodel.cpp
+++ b/src/libs/balancing/loadmodel.cpp
@@ -61,6 +61,14 @@
     load.ejectedUntil = now + std::min(minEjectionDuration * (1U << doublings), maxEjectionDuration);
 }
 
+void countFailure(UpstreamLoad& load, Utils::Instant now)
+{
+    load.failureRate += (1.0 - load.failureRate) * sampleWeight;
+    ++load.consecutiveFailures;
+    if (load.consecutiveFailures >= failuresToEject)
+        eject(load, now);
+}
+
 } // namespace Internal
 
 void recordRequestSent(UpstreamLoad& load, Utils::Instant now)
@@ -116,15 +124,14 @@
     Internal::recordReportedLoad(load, stats, reported, now);
 }
 
+void recordUnansweredProbe(UpstreamLoad& load, Utils::Instant now) { Internal::countFailure(load, now); }
+
 void recordFailure(UpstreamLoad& load, Utils::Instant now)
 {
     const Utils::Instant previousResponseAt = load.lastResponseAt;
     Internal::completeRequest(load, now);
     load.lastResponseAt = previousResponseAt;
-    load.failureRate += (1.0 - load.failureRate) * sampleWeight;
-    ++load.consecutiveFailures;
-    if (load.consecutiveFailures >= failuresToEject)
-        Internal::eject(load, now);
+    Internal::countFailure(load, now);
 }
 
 void recordAbandonedRequest(UpstreamLoad& load)
--- a/src/libs/balancing/loadmodel.h
+++ b/src/libs/balancing/loadmodel.h
@@ -42,6 +42,9 @@
 void recordProbedLoad(
     UpstreamLoad& load, ServiceStats& stats, const Routing::ReportedLoad& reported, Utils::Instant now);
 
+/// Records that the upstream could not be asked for its load.
+void recordUnansweredProbe(UpstreamLoad& load, Utils::Instant now);
+
 /// Records a lost connection or a timeout.
 void recordFailure(UpstreamLoad& load, Utils::Instant now);
 
--- a/src/libs/edge/loadprobes.cpp
+++ b/src/libs/edge/loadprobes.cpp
@@ -49,6 +49,8 @@
             node.traffic.serviceStats[entry->second.record.service], *reported, now());
     else
         ++node.counters.unansweredProbes;
+    if (response.outcome != CallOutcome::Responded)
+        Balancing::recordUnansweredProbe(node.traffic.upstreamStates[upstream].load, now());
     const auto found = node.traffic.exchanges.find(exchangeId);
     if (found == node.traffic.exchanges.end() || found->second->probing.batch != batch)
         return;
