--- a/src/libs/edge/loadprobes.cpp
+++ b/src/libs/edge/loadprobes.cpp
@@ -15,9 +15,11 @@
 
 namespace Internal {
 
-/// How long the response to a probe is awaited: several round trips, or a new connection.
-constexpr Utils::Duration nearProbeTimeout = std::chrono::milliseconds(25);
-constexpr Utils::Duration farProbeTimeout = std::chrono::milliseconds(120);
+/// How long a request waits for the response to a probe: several round trips, or a new connection.
+constexpr Utils::Duration nearProbeWait = std::chrono::milliseconds(25);
+constexpr Utils::Duration farProbeWait = std::chrono::milliseconds(120);
+/// A new connection to an upstream whose slots are all taken is served late. It is kept for later probes.
+constexpr Utils::Duration probeTimeout = std::chrono::seconds(1);
 /// What an upstream has told within this time needs no probe.
 constexpr Utils::Duration maxReportAge = std::chrono::milliseconds(15);
 /// Health responses have no body to speak of.
@@ -43,6 +45,7 @@
     const std::optional<Routing::ReportedLoad> reported = response.outcome == CallOutcome::Responded
         ? Platform::parseServerHeaders(response.status, response.fields).load
         : std::nullopt;
+    node.traffic.upstreamStates[upstream].isProbePending = false;
     const auto entry = node.clusterView.directory.entries.find(upstream);
     if (reported && entry != node.clusterView.directory.entries.end())
         Balancing::recordProbedLoad(node.traffic.upstreamStates[upstream].load,
@@ -61,14 +64,14 @@
         finishProbes(node, exchange);
 }
 
-void startProbe(Node& node, const std::shared_ptr<Exchange>& exchange, const Balancing::Candidate& candidate,
-    Utils::Duration timeout)
+void startProbe(Node& node, const std::shared_ptr<Exchange>& exchange, const Balancing::Candidate& candidate)
 {
     const Routing::Endpoint endpoint = node.clusterView.directory.entries.at(candidate.id).record.endpoint;
     ++node.counters.loadProbes;
+    node.traffic.upstreamStates[candidate.id].isProbePending = true;
     startCall(
         node.calls, upstreamEndpoint(node, endpoint),
-        Platform::makeHealthRequest(endpoint, exchange->service->healthPath), timeout,
+        Platform::makeHealthRequest(endpoint, exchange->service->healthPath), probeTimeout,
         [&node, id = exchange->id, batch = exchange->probing.batch, upstream = candidate.id](
             const CallResponse& response) { handleProbeResponse(node, id, batch, upstream, response); },
         maxHealthResponseBytes);
@@ -103,7 +106,7 @@
     request.asked = probing.asked;
     ++probing.rounds;
     ++probing.batch;
-    Utils::Duration timeout {};
+    Utils::Duration wait {};
     std::vector<std::size_t> unknown;
     for (const std::size_t position : Balancing::chooseProbeTargets(candidates, request, now)) {
         const Balancing::Candidate& candidate = candidates[position];
@@ -112,17 +115,19 @@
             probing.answered.insert(candidate.id);
             continue;
         }
+        if (node.traffic.upstreamStates[candidate.id].isProbePending)
+            continue;
         unknown.push_back(position);
-        timeout = std::max(timeout,
-            candidate.distance == Balancing::Distance::OtherRegion ? Internal::farProbeTimeout
-                                                                   : Internal::nearProbeTimeout);
+        wait = std::max(wait,
+            candidate.distance == Balancing::Distance::OtherRegion ? Internal::farProbeWait
+                                                                   : Internal::nearProbeWait);
     }
     if (unknown.empty())
         return probeCandidates(node, exchange, candidates, now);
     probing.pending = static_cast<unsigned>(unknown.size());
     for (const std::size_t position : unknown)
-        Internal::startProbe(node, exchange, candidates[position], timeout);
-    startTimer(probing.timer, timeout, [&node, exchange, batch = probing.batch] {
+        Internal::startProbe(node, exchange, candidates[position]);
+    startTimer(probing.timer, wait, [&node, exchange, batch = probing.batch] {
         if (node.traffic.exchanges.contains(exchange->id) && exchange->probing.batch == batch)
             Internal::finishProbes(node, exchange);
     });
