--- a/src/libs/balancing/probetargets.cpp
+++ b/src/libs/balancing/probetargets.cpp
@@ -1,3 +1,4 @@
+#include <balancing/loadmodel.h>
 #include <balancing/probetargets.h>
 
 #include <utils/hash.h>
@@ -75,6 +76,26 @@
     return preferred;
 }
 
+void keepPreferred(
+    std::vector<Candidate>& candidates, const ServiceStats& stats, std::uint64_t vmSeed, Utils::Instant now)
+{
+    std::vector<std::size_t> preferred = findPreferred(candidates, vmSeed);
+    if (preferred.size() == candidates.size())
+        return;
+    std::erase_if(preferred, [&](std::size_t position) {
+        const Candidate& candidate = candidates[position];
+        return now < candidate.load->ejectedUntil
+            || estimateLoad(*candidate.load, stats, now) >= candidate.slots;
+    });
+    if (preferred.empty())
+        return;
+    std::vector<Candidate> kept;
+    kept.reserve(preferred.size());
+    for (const std::size_t position : preferred)
+        kept.push_back(candidates[position]);
+    candidates = std::move(kept);
+}
+
 std::vector<std::size_t> chooseProbeTargets(
     const std::vector<Candidate>& candidates, const ProbeRequest& request, Utils::Instant now)
 {
--- a/src/libs/balancing/probetargets.h
+++ b/src/libs/balancing/probetargets.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <balancing/candidate.h>
+#include <balancing/servicestats.h>
 #include <utils/time.h>
 
 #include <cstddef>
@@ -40,6 +41,9 @@
 std::vector<std::size_t> findPreferred(
     const std::vector<Candidate>& candidates, std::uint64_t vmSeed, const PreferredCounts& counts = {});
 
+void keepPreferred(
+    std::vector<Candidate>& candidates, const ServiceStats& stats, std::uint64_t vmSeed, Utils::Instant now);
+
 /// Returns the positions of the upstreams to ask, two at most. Upstreams that are ejected are asked only if
 /// there are no others.
 ///
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -2,6 +2,7 @@
 #include <balancing/chooseupstream.h>
 #include <balancing/decidenext.h>
 #include <balancing/loadmodel.h>
+#include <balancing/probetargets.h>
 #include <balancing/yielding.h>
 #include <edge/bodyintake.h>
 #include <edge/callerresponses.h>
@@ -221,9 +222,9 @@
         respondLocally(node, exchange, LocalResponseReason::LimitReached, *limitDelay);
         return;
     }
-    if (probeCandidates(node, exchange, candidates, at))
-        return;
-    keepProbed(*exchange, candidates);
+    if (!exchange->service->keyed)
+        Balancing::keepPreferred(candidates, node.traffic.serviceStats[exchange->service->id],
+            Utils::stableHash(node.settings.name.value), at);
     const std::optional<Balancing::Placement> placement
         = Balancing::chooseUpstream(candidates, makePlacementRequest(node, *exchange), at);
     if (!placement) {
