Prefer a few upstreams of a large service; drop the load probes

Cause: a VM of the two new sites sends a few requests a second of a kind to 60 to 136 upstreams, so that its connection to one is closed and what it knows of its load is out of date by its next request there.

Kept: preferred upstreams by rendezvous hashing, the nearest first, while one of them seems to have a free slot. Services with fewer than 20 upstreams are used as a whole, as before. The reported work factor enters the expected latency, and ages towards the usual one of the upstream.

--- a/src/libs/balancing/loadmodel.cpp
+++ b/src/libs/balancing/loadmodel.cpp
@@ -11,9 +11,6 @@
 /// free, because the reported load is out of date.
 constexpr double staleLoadWaitFraction = 0.3;
 
-/// A report of this age shows the requests that wait.
-constexpr Utils::Duration maxFreshReportAge = std::chrono::milliseconds(50);
-
 /// Bounds of one sample of the slowdown factor, and so of its mean. The latency of single requests varies far
 /// more than the speed of upstreams.
 constexpr double minSlowdownFactor = 0.4;
@@ -42,7 +39,6 @@
     load.loadReportedAt = now;
     if (reported.workFactor)
         recordWorkFactor(load, *reported.workFactor);
-    stats.reportsWorkFactor = stats.reportsWorkFactor || reported.workFactor.has_value();
     stats.meanOtherVmRequests += (load.otherVmRequests - stats.meanOtherVmRequests) * sampleWeight / 2;
 }
 
@@ -61,14 +57,6 @@
     load.ejectedUntil = now + std::min(minEjectionDuration * (1U << doublings), maxEjectionDuration);
 }
 
-void countFailure(UpstreamLoad& load, Utils::Instant now)
-{
-    load.failureRate += (1.0 - load.failureRate) * sampleWeight;
-    ++load.consecutiveFailures;
-    if (load.consecutiveFailures >= failuresToEject)
-        eject(load, now);
-}
-
 } // namespace Internal
 
 void recordRequestSent(UpstreamLoad& load, Utils::Instant now)
@@ -100,7 +88,7 @@
     const bool wasQueued = sample.reportedLoad && sample.reportedLoad->waiting > 0;
     if (wasQueued || !sample.baselineLatency || *sample.baselineLatency <= Utils::Duration::zero())
         return;
-    // What the machine does for others at the moment says nothing about the upstream either.
+    // What the reported work factor explains is no property of the upstream.
     const double workFactor = sample.reportedLoad ? sample.reportedLoad->workFactor.value_or(1) : 1;
     const double ratio
         = std::clamp(std::chrono::duration<double>(sample.latency) / *sample.baselineLatency / workFactor,
@@ -118,20 +106,15 @@
     load.ejectedUntil = std::max(load.ejectedUntil, now + stats.serviceTime / 2);
 }
 
-void recordProbedLoad(
-    UpstreamLoad& load, ServiceStats& stats, const Routing::ReportedLoad& reported, Utils::Instant now)
-{
-    Internal::recordReportedLoad(load, stats, reported, now);
-}
-
-void recordUnansweredProbe(UpstreamLoad& load, Utils::Instant now) { Internal::countFailure(load, now); }
-
 void recordFailure(UpstreamLoad& load, Utils::Instant now)
 {
     const Utils::Instant previousResponseAt = load.lastResponseAt;
     Internal::completeRequest(load, now);
     load.lastResponseAt = previousResponseAt;
-    Internal::countFailure(load, now);
+    load.failureRate += (1.0 - load.failureRate) * sampleWeight;
+    ++load.consecutiveFailures;
+    if (load.consecutiveFailures >= failuresToEject)
+        Internal::eject(load, now);
 }
 
 void recordAbandonedRequest(UpstreamLoad& load)
@@ -155,11 +138,8 @@
     const double factor = load.slowdownFactor * coldStartFactor * Internal::estimateWorkFactor(load, now);
     const double requests = estimateLoad(load, stats, now);
     const double queuedRequests = std::max(0.0, requests - slots + 1);
-    const bool isReportFresh = load.loadReportedAt != Utils::Instant {}
-        && now - load.loadReportedAt <= Internal::maxFreshReportAge;
-    const double hiddenRequests = isReportFresh
-        ? 0
-        : Internal::staleLoadWaitFraction * std::min(requests, static_cast<double>(slots));
+    const double hiddenRequests
+        = Internal::staleLoadWaitFraction * std::min(requests, static_cast<double>(slots));
     const double waitingTime
         = static_cast<double>(stats.serviceTime.count()) * (queuedRequests + hiddenRequests) / slots;
     return Utils::Duration(
--- a/src/libs/balancing/loadmodel.h
+++ b/src/libs/balancing/loadmodel.h
@@ -38,13 +38,6 @@
 void recordRejection(UpstreamLoad& load, ServiceStats& stats,
     const std::optional<Routing::ReportedLoad>& reported, Utils::Instant now);
 
-/// Records the load that the upstream has reported without a request.
-void recordProbedLoad(
-    UpstreamLoad& load, ServiceStats& stats, const Routing::ReportedLoad& reported, Utils::Instant now);
-
-/// Records that the upstream could not be asked for its load.
-void recordUnansweredProbe(UpstreamLoad& load, Utils::Instant now);
-
 /// Records a lost connection or a timeout.
 void recordFailure(UpstreamLoad& load, Utils::Instant now);
 
--- a/src/libs/edge/callpool.cpp
+++ b/src/libs/edge/callpool.cpp
@@ -19,7 +19,7 @@
 
 /// Idle connections are discarded well before the server closes them; upstreams close theirs after ten
 /// seconds.
-constexpr Utils::Duration maxIdleDuration = std::chrono::seconds(7);
+constexpr Utils::Duration maxIdleDuration = std::chrono::seconds(4);
 /// Connect timeout: several round trips between regions.
 constexpr Utils::Duration connectTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t maxIdleConnectionsPerEndpoint = 4;
--- a/src/libs/edge/counters.h
+++ b/src/libs/edge/counters.h
@@ -26,9 +26,6 @@
     /// Requests that arrived while an earlier one of their connection had no response.
     std::uint64_t requestsAhead = 0;
     std::uint64_t newConnections = 0;
-    /// Requests for the load of an upstream, and those without a usable response.
-    std::uint64_t loadProbes = 0;
-    std::uint64_t unansweredProbes = 0;
     /// Handlers that ended with an exception.
     std::uint64_t failedHandlers = 0;
     /// Responses of upstreams without a signature that do not say that the request has not run.
--- a/src/libs/edge/exchange.h
+++ b/src/libs/edge/exchange.h
@@ -3,7 +3,6 @@
 #include <edge/forwardedrequest.h>
 #include <edge/guardedtimer.h>
 #include <edge/localresponse.h>
-#include <edge/probing.h>
 #include <platform/callerheaders.h>
 #include <platform/storecalls.h>
 #include <routing/routetable.h>
@@ -23,7 +22,6 @@
         : deadlineTimer(context)
         , holderWaitTimer(context)
         , forwardTimer(context)
-        , probing(context)
     {
     }
 
@@ -81,7 +79,6 @@
     GuardedTimer holderWaitTimer;
     /// Expires when the request may be given to a third VM.
     GuardedTimer forwardTimer;
-    Probing probing;
 };
 
 } // namespace Edge
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -2,7 +2,7 @@
 #include <balancing/chooseupstream.h>
 #include <balancing/decidenext.h>
 #include <balancing/loadmodel.h>
-#include <balancing/probetargets.h>
+#include <balancing/preferredupstreams.h>
 #include <balancing/yielding.h>
 #include <edge/bodyintake.h>
 #include <edge/callerresponses.h>
@@ -12,7 +12,6 @@
 #include <edge/forwardingheaders.h>
 #include <edge/leaving.h>
 #include <edge/limitedsends.h>
-#include <edge/loadprobes.h>
 #include <edge/pauses.h>
 #include <edge/peerforwarding.h>
 #include <edge/upstreamreach.h>
@@ -58,7 +57,6 @@
     cancelTimer(exchange->deadlineTimer);
     cancelTimer(exchange->holderWaitTimer);
     cancelTimer(exchange->forwardTimer);
-    endProbing(*exchange);
     node.traffic.exchanges.erase(exchange->id);
     releaseRequestBody(node, *exchange);
 }
@@ -260,7 +258,6 @@
     const Routing::DirectoryEntry& entry = node.clusterView.directory.entries.at(upstream);
     ++exchange->attemptCount;
     exchange->triedUpstreams.insert(upstream);
-    endProbing(*exchange);
     exchange->lastUpstream = upstream;
     exchange->attemptStartedAt = at;
     exchange->upstreamVanishedAt.reset();
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -98,11 +98,6 @@
         static_cast<double>(counters.requestsAhead));
     Internal::writeSingleSample(text, "crocus_new_connections_total", "counter",
         "Connections made to upstreams", static_cast<double>(counters.newConnections));
-    Internal::writeSingleSample(text, "crocus_load_probes_total", "counter",
-        "Requests for the load of an upstream", static_cast<double>(counters.loadProbes));
-    Internal::writeSingleSample(text, "crocus_unanswered_probes_total", "counter",
-        "Requests for the load of an upstream without a usable response",
-        static_cast<double>(counters.unansweredProbes));
     Internal::writeSingleSample(text, "crocus_failed_handlers_total", "counter",
         "Handlers that ended with an exception", static_cast<double>(counters.failedHandlers));
     Internal::writeSingleSample(text, "crocus_unsigned_responses_total", "counter",
--- a/src/libs/edge/upstreamstate.h
+++ b/src/libs/edge/upstreamstate.h
@@ -13,8 +13,6 @@
     /// The process of the upstream with this start time has asked for no requests until then.
     Utils::Instant pausedUntil {};
     std::uint64_t pausedStartTimeMs = 0;
-    /// The upstream has been asked for its load and has not responded.
-    bool isProbePending = false;
     /// Ids of the idle connections, most recently used last.
     std::vector<std::uint64_t> idleConnectionIds;
 };
