Keep which availability zones are evacuated

The state that candidates, the placement of keys and cold upstreams read: per zone the offset of the newest record, the earliest time from which it can be in force, and when it ended. Nothing writes it yet.

--- a/src/libs/edge/clusterview.h
+++ b/src/libs/edge/clusterview.h
@@ -2,6 +2,7 @@
 
 #include <granting/keyassignment.h>
 #include <routing/callerlimithistory.h>
+#include <routing/evacuations.h>
 #include <routing/routetable.h>
 #include <routing/upstreamdirectory.h>
 
@@ -24,6 +25,7 @@
     /// The upstreams of each service that have not expired.
     std::unordered_map<Utils::ServiceId, std::vector<Utils::UpstreamId>> upstreamsByService;
     std::map<Utils::ServiceId, Granting::KeyAssignment> assignments;
+    Routing::Evacuations evacuations;
 };
 
 } // namespace Edge
