Send requests of routes with home regions only to upstreams there

Cause: routes with homes were sent to upstreams in all regions. Candidates, holders of keys and retries ask routing/placementrules. A request with a body is handed only to a VM that is known to be in a home region or in the region of the VM that the caller chose. Keys of a service to which all routes with homes lead are placed in the union of these. Without an upstream there, requests are rejected at once (no_upstream_in_homes).

--- a/src/libs/balancing/peerload.h
+++ b/src/libs/balancing/peerload.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <balancing/distance.h>
+#include <utils/ids.h>
 #include <utils/time.h>
 
 #include <optional>
@@ -11,6 +12,8 @@
 struct PeerLoad {
     /// Empty until the other VM has answered.
     std::optional<Distance> distance;
+    /// Empty until then, too.
+    Utils::ZoneId zone;
     /// Requests that the other VM handles for this one.
     unsigned outstanding = 0;
     /// The other VM is not used before: it was unreachable, or reaches no upstream either.
--- a/src/libs/edge/candidates.cpp
+++ b/src/libs/edge/candidates.cpp
@@ -1,5 +1,6 @@
 #include <edge/candidates.h>
 #include <edge/leaving.h>
+#include <edge/upstreamplacement.h>
 
 namespace Edge {
 
@@ -25,19 +26,6 @@
 /// The rest of the time that the platform allows is left for the propagation of the new assignment.
 constexpr Utils::Duration drainingHolderTimeout = std::chrono::milliseconds(800);
 
-/// Finds the holder \a id. Returns null if requests for its keys may not be sent to it.
-const Routing::DirectoryEntry* findServingHolder(
-    const Node& node, const Utils::UpstreamId& id, Utils::Instant now)
-{
-    const auto found = node.clusterView.directory.entries.find(id);
-    if (found == node.clusterView.directory.entries.end() || found->second.isExpired)
-        return nullptr;
-    const Routing::DirectoryEntry& entry = found->second;
-    const bool isServing = (!entry.record.draining || now - entry.reportedAt < drainingHolderTimeout)
-        && !mustHaveLeft(node, entry.record, now);
-    return isServing ? &entry : nullptr;
-}
-
 const Granting::Segment* findKeySegment(const Node& node, const Exchange& exchange)
 {
     const auto found = node.clusterView.assignments.find(exchange.service->id);
@@ -58,14 +46,28 @@
     return sameRegion ? Balancing::Distance::SameRegion : Balancing::Distance::OtherRegion;
 }
 
+const Routing::DirectoryEntry* findServingHolder(
+    const Node& node, const Exchange& exchange, Utils::Instant now)
+{
+    const Granting::Segment* segment = Internal::findKeySegment(node, exchange);
+    if (!segment)
+        return nullptr;
+    const auto found = node.clusterView.directory.entries.find(segment->holder);
+    if (found == node.clusterView.directory.entries.end() || found->second.isExpired)
+        return nullptr;
+    const Routing::DirectoryEntry& entry = found->second;
+    const bool isServing
+        = (!entry.record.draining || now - entry.reportedAt < Internal::drainingHolderTimeout)
+        && !mustHaveLeft(node, entry.record, now);
+    return isServing ? &entry : nullptr;
+}
+
 std::vector<Balancing::Candidate> findCandidates(Node& node, const Exchange& exchange, Utils::Instant now)
 {
     std::vector<Balancing::Candidate> candidates;
     if (exchange.service->keyed) {
-        const Granting::Segment* segment = Internal::findKeySegment(node, exchange);
-        const Routing::DirectoryEntry* entry
-            = segment ? Internal::findServingHolder(node, segment->holder, now) : nullptr;
-        if (entry)
+        const Routing::DirectoryEntry* entry = findServingHolder(node, exchange, now);
+        if (entry && checkHolder(node, exchange, entry->record, now) == Routing::PlacementVerdict::Allowed)
             candidates.push_back(Internal::makeCandidate(node, *entry, now));
         return candidates;
     }
@@ -75,7 +77,8 @@
     std::vector<Balancing::Candidate> leaving;
     for (const Utils::UpstreamId& id : found->second) {
         const Routing::DirectoryEntry* entry = Routing::findUsable(node.clusterView.directory, id);
-        if (!entry || exchange.triedUpstreams.contains(id))
+        if (!entry || exchange.triedUpstreams.contains(id)
+            || checkUpstream(node, exchange, entry->record) != Routing::PlacementVerdict::Allowed)
             continue;
         if (!isLeaving(node, entry->record))
             candidates.push_back(Internal::makeCandidate(node, *entry, now));
@@ -91,7 +94,13 @@
     if (!exchange.service->keyed)
         return false;
     const Granting::Segment* segment = Internal::findKeySegment(node, exchange);
-    return !segment || !segment->isConfirmed || !Internal::findServingHolder(node, segment->holder, now);
+    if (!segment || !segment->isConfirmed)
+        return true;
+    const Routing::DirectoryEntry* entry = findServingHolder(node, exchange, now);
+    if (!entry)
+        return true;
+    return checkHolder(node, exchange, entry->record, now) != Routing::PlacementVerdict::Allowed
+        && isReplacedForPlacement(node, exchange, entry->record);
 }
 
 } // namespace Edge
--- a/src/libs/edge/candidates.h
+++ b/src/libs/edge/candidates.h
@@ -15,6 +15,10 @@
 /// service without keys, all usable upstreams that have not been tried.
 std::vector<Balancing::Candidate> findCandidates(Node& node, const Exchange& exchange, Utils::Instant now);
 
+/// Finds the holder of the key of \a exchange. Returns null if requests for its keys may not be sent to it.
+const Routing::DirectoryEntry* findServingHolder(
+    const Node& node, const Exchange& exchange, Utils::Instant now);
+
 /// Whether the service of \a exchange is keyed and its key has no confirmed holder that can serve requests.
 bool isHolderMissing(const Node& node, const Exchange& exchange, Utils::Instant now);
 
--- a/src/libs/edge/clusterviewupdates.cpp
+++ b/src/libs/edge/clusterviewupdates.cpp
@@ -15,6 +15,7 @@
 #include <platform/configurationdecoder.h>
 #include <platform/fieldname.h>
 #include <platform/upstreamdecoder.h>
+#include <routing/placementrules.h>
 
 #include <boost/leaf.hpp>
 
@@ -84,6 +85,14 @@
             { "delay_ms", sourceDelayMs(node) } });
 }
 
+/// Requests are never sent to these regions, so that a misspelt one shows in the log.
+void logUnknownHomes(const Node& node, const Routing::Configuration& configuration)
+{
+    for (const Utils::RegionId& region : Routing::findUnknownHomes(configuration, node.settings.regionByZone))
+        Logging::write(Logging::Level::Warning, "home_region_unknown",
+            { { "version", configuration.version }, { "region", region.value } });
+}
+
 /// Puts \a configuration in force unless the same or a later version is. Returns whether it did.
 bool applyConfiguration(Node& node, Routing::Configuration configuration, Utils::Offset offset)
 {
@@ -92,6 +101,7 @@
     if (node.clusterView.routeTable && configuration.version <= previousVersion)
         return false;
     logConfigurationInForce(node, configuration, previousVersion, offset);
+    logUnknownHomes(node, configuration);
     Routing::recordLimits(node.clusterView.callerLimits, configuration.limits, now());
     node.clusterView.routeTable
         = std::make_shared<const Routing::RouteTable>(Routing::makeRouteTable(std::move(configuration)));
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -17,6 +17,7 @@
 #include <edge/exchanges.h>
 #include <edge/exchangesteps.h>
 #include <edge/requestlog.h>
+#include <edge/upstreamplacement.h>
 #include <edge/upstreams.h>
 #include <platform/headers.h>
 #include <utils/hash.h>
@@ -222,7 +223,7 @@
     const std::optional<Balancing::Placement> placement
         = Balancing::chooseUpstream(candidates, makePlacementRequest(node, *exchange), at);
     if (!placement) {
-        respondLocally(node, exchange, LocalResponseReason::NoUpstream, defaultRetryAfter);
+        respondLocally(node, exchange, missingUpstreamReason(node, *exchange, at), defaultRetryAfter);
         return;
     }
     if (exchange->attemptCount == 0) {
--- a/src/libs/edge/keyplanning.cpp
+++ b/src/libs/edge/keyplanning.cpp
@@ -3,6 +3,7 @@
 #include <edge/leadershiplog.h>
 #include <edge/leaving.h>
 #include <edge/limitkeeping.h>
+#include <edge/upstreamplacement.h>
 #include <granting/planplacement.h>
 
 #include <algorithm>
@@ -34,22 +35,32 @@
     Node& node, const Granting::Granter& granter, Utils::Instant at)
 {
     std::vector<Granting::PlacementTarget> targets;
+    std::vector<Granting::PlacementTarget> evacuated;
     const Utils::ServiceId& service = granter.assignment.service;
     const Balancing::ServiceStats& stats = node.traffic.serviceStats[service];
     const std::set<Utils::UpstreamId> unresponsive = Granting::findUnresponsiveUpstreams(granter, at);
     const Routing::UpstreamDirectory& directory = node.clusterView.directory;
+    const std::vector<Utils::RegionId>& homes = keyHomes(node.clusterView.routeTable.get(), service);
     for (auto it = directory.entries.begin(); it != directory.entries.end(); ++it) {
         const Routing::DirectoryEntry& entry = it->second;
         if (entry.record.service != service || !Routing::isUsable(entry) || unresponsive.contains(it->first)
             || isLeaving(node, entry.record))
             continue;
+        const Routing::PlacementVerdict verdict
+            = Routing::checkPlacement(placementRules(node), homes, entry.record.zone);
+        if (verdict == Routing::PlacementVerdict::OutsideHomes)
+            continue;
         const double seconds = std::chrono::duration<double>(stats.serviceTime).count()
             * node.traffic.upstreamStates[it->first].load.slowdownFactor;
         double capacity = entry.record.slots / std::max(seconds, minServiceTimeSeconds);
         if (const Balancing::RequestLimit* const limit = findLimit(node, it->first))
             capacity = std::min(capacity, std::max(limit->perSecond * usedLimitShare, minLimitedCapacity));
-        targets.push_back({ it->first, capacity });
+        (verdict == Routing::PlacementVerdict::Allowed ? targets : evacuated)
+            .push_back({ it->first, capacity });
     }
+    // If all zones are evacuated the keys stay where they are.
+    if (targets.empty())
+        targets = std::move(evacuated);
     std::sort(targets.begin(), targets.end(),
         [](const Granting::PlacementTarget& one, const Granting::PlacementTarget& other) {
             return one.id < other.id;
--- a/src/libs/edge/localresponsereason.h
+++ b/src/libs/edge/localresponsereason.h
@@ -20,6 +20,10 @@
     MemoryLimitReached,
     /// No usable upstream of the service is known.
     NoUpstream,
+    /// No usable upstream, or not the holder of the key, is in a home region of the route.
+    NoUpstreamInHomes,
+    /// All usable upstreams for the request are in evacuated availability zones.
+    ZonesEvacuated,
     /// This VM reaches no upstream, and no other VM can send the request to one.
     Unreachable,
     /// The request's key has no holder that can serve it.
@@ -44,7 +48,7 @@
     Stopping,
 };
 
-inline constexpr std::array<Utils::EnumName<LocalResponseReason>, 19> localResponseReasonNames { {
+inline constexpr std::array<Utils::EnumName<LocalResponseReason>, 21> localResponseReasonNames { {
     { LocalResponseReason::NoConfiguration, "no_configuration" },
     { LocalResponseReason::StaleConfiguration, "stale_configuration" },
     { LocalResponseReason::NoRoute, "no_route" },
@@ -53,6 +57,8 @@
     { LocalResponseReason::BodyTooLarge, "body_too_large" },
     { LocalResponseReason::MemoryLimitReached, "memory_full" },
     { LocalResponseReason::NoUpstream, "no_upstream" },
+    { LocalResponseReason::NoUpstreamInHomes, "no_upstream_in_homes" },
+    { LocalResponseReason::ZonesEvacuated, "zones_evacuated" },
     { LocalResponseReason::Unreachable, "upstreams_unreachable" },
     { LocalResponseReason::KeyWithoutHolder, "key_without_holder" },
     { LocalResponseReason::Overload, "overload" },
--- a/src/libs/edge/peerforwarding.cpp
+++ b/src/libs/edge/peerforwarding.cpp
@@ -9,6 +9,7 @@
 #include <edge/requestlog.h>
 #include <edge/upstreamreach.h>
 #include <platform/headers.h>
+#include <routing/placementrules.h>
 
 #include <algorithm>
 
@@ -42,6 +43,27 @@
     }
 }
 
+/// Whether the body of \a exchange may be sent to a VM in \a zone: the homes of its route and the region of
+/// the VM that the caller has chosen. A zone that is not known is in no region.
+bool mayReceiveBody(const Node& node, const Exchange& exchange, const Utils::ZoneId& zone)
+{
+    const std::map<Utils::ZoneId, Utils::RegionId>& regionByZone = node.settings.regionByZone;
+    const std::vector<Utils::RegionId>& homes = exchange.route->homeRegions;
+    if (homes.empty() || exchange.request.body().empty())
+        return true;
+    return Routing::isInHomes(homes, zone, regionByZone)
+        || Routing::isInHomes({ node.settings.region }, zone, regionByZone);
+}
+
+std::optional<std::string> choosePeerFor(const Node& node, const Exchange& exchange, Utils::Instant now)
+{
+    std::map<std::string, Balancing::PeerLoad> peers = node.forwarding.peers;
+    std::erase_if(peers, [&](const std::pair<const std::string, Balancing::PeerLoad>& peer) {
+        return !mayReceiveBody(node, exchange, peer.second.zone);
+    });
+    return Balancing::choosePeer(peers, exchange.id ^ node.incarnation, now);
+}
+
 /// Upstreams that another VM may try. One attempt is kept for a second VM.
 unsigned attemptsToGive(const Exchange& exchange)
 {
@@ -81,8 +103,11 @@
     const ForwardingOutcome outcome = takeForwardingOutcome(response.fields, zone);
     if (const std::optional<Relay::LeavingNotice> notice = takeForwardedLeaving(response.fields))
         recordReportedLeaving(node, { *notice }, false);
-    if (!zone.value.empty())
-        node.forwarding.peers[address].distance = distanceTo(node, zone);
+    if (!zone.value.empty()) {
+        Balancing::PeerLoad& peer = node.forwarding.peers[address];
+        peer.distance = distanceTo(node, zone);
+        peer.zone = zone;
+    }
     return outcome;
 }
 
@@ -145,8 +170,7 @@
 {
     Internal::updatePeers(node);
     const Utils::Instant at = now();
-    const std::optional<std::string> address
-        = Balancing::choosePeer(node.forwarding.peers, exchange->id ^ node.incarnation, at);
+    const std::optional<std::string> address = Internal::choosePeerFor(node, *exchange, at);
     if (!address)
         return false;
     const Utils::Duration timeLeft = exchange->deadlineAt - at;
--- a/src/libs/routing/routetable.cpp
+++ b/src/libs/routing/routetable.cpp
@@ -1,3 +1,4 @@
+#include <routing/placementrules.h>
 #include <routing/routetable.h>
 
 #include <algorithm>
@@ -26,6 +27,7 @@
         const Route& route = table.configuration.routes[index];
         table.routesByHost[Internal::normalizedHost(route.host)].emplace(route.pathPrefix, index);
     }
+    table.homesByService = findServiceHomes(table.configuration);
     return table;
 }
 
--- a/src/libs/routing/routetable.h
+++ b/src/libs/routing/routetable.h
@@ -3,9 +3,11 @@
 #include <routing/configuration.h>
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace Routing {
 
@@ -14,6 +16,8 @@
     Configuration configuration;
     /// Maps host and path prefix to the index into the routes of the configuration.
     std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>> routesByHost;
+    /// Regions that may hold the keys of a service; a service that is missing has no home regions.
+    std::map<Utils::ServiceId, std::vector<Utils::RegionId>> homesByService;
 };
 
 RouteTable makeRouteTable(Configuration configuration);
--- a/tests/auto/edge/testenvironment.cpp
+++ b/tests/auto/edge/testenvironment.cpp
@@ -31,10 +31,13 @@
 std::string makeRule(const TestEnvironment& environment, const std::string& prefix, const std::string& kind,
     const std::string& service)
 {
+    const auto homes = environment.homeRegions.find(prefix);
     return R"({"name":"r-)" + prefix + R"(","kind":")" + kind
         + R"(","target_latency":"800ms","priority":1,"match":{"path_prefix":"/)" + prefix
         + R"(/"},"action":{"service":")" + service + R"(","timeout":")"
-        + std::to_string(environment.routeTimeout.count()) + R"(ms","max_attempts":3}})";
+        + std::to_string(environment.routeTimeout.count()) + R"(ms","max_attempts":3)"
+        + (homes == environment.homeRegions.end() ? "" : R"(,"home_regions":[")" + homes->second + R"("])")
+        + "}}";
 }
 
 unsigned lastAddressNumber = 0;
@@ -64,14 +67,15 @@
         + std::to_string(1 + number);
 }
 
-TestUpstream& addUpstream(
-    TestEnvironment& environment, const std::string& id, const std::string& service, bool keyed)
+TestUpstream& addUpstream(TestEnvironment& environment, const std::string& id, const std::string& service,
+    bool keyed, const std::string& zone)
 {
     environment.upstreams.push_back(std::make_unique<TestUpstream>(environment.context));
     TestUpstream& upstream = *environment.upstreams.back();
     upstream.standIn.id = id;
     upstream.standIn.keyed = keyed;
     upstream.service = service;
+    upstream.zone = zone;
     StandInSupport::startServing(upstream.httpServer, uniqueLoopbackAddress(++lastAddressNumber) + ":0",
         StandInServer::handlerOf(upstream.standIn));
     publishUpstreamEntry(environment, upstream);
@@ -85,8 +89,8 @@
         + ":" + std::to_string(StandInSupport::portOf(upstream.httpServer));
     StandInStore::putRecord(environment.store, "keyed.servers", upstream.standIn.id,
         R"({"address":")" + address + R"(","info":{"service":")" + upstream.service
-            + R"(","version":"v1","zone":"z1","slots":2},"status":{"state":")" + state + R"(","seq_no":)"
-            + std::to_string(++upstream.sequenceNumber) + R"(,"cold_left":"0ms"},"born":)"
+            + R"(","version":"v1","zone":")" + upstream.zone + R"(","slots":2},"status":{"state":")" + state
+            + R"(","seq_no":)" + std::to_string(++upstream.sequenceNumber) + R"(,"cold_left":"0ms"},"born":)"
             + std::to_string(upstream.startTimeMs) + "}");
 }
 
@@ -119,7 +123,7 @@
     for (std::size_t vm = 0; hasSeeds && vm < std::min<std::size_t>(environment.vms.size(), 3); ++vm)
         settings.seeds.push_back(environment.vms[vm]->node.settings.address);
     settings.region = { "r1" };
-    settings.regionByZone = { { { "z1" }, { "r1" } } };
+    settings.regionByZone = environment.regionByZone;
     settings.callerEndpoint = { settings.address, callersPort };
     settings.readinessEndpoint = { settings.address, readinessPort };
     settings.firstInternalPort = internalPort;
--- a/tests/auto/edge/testenvironment.h
+++ b/tests/auto/edge/testenvironment.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,6 +27,7 @@
     StandInServer::PlatformServer standIn;
     StandInSupport::HttpServer httpServer;
     std::string service;
+    std::string zone = "z1";
     std::uint64_t startTimeMs = 1;
     std::uint64_t sequenceNumber = 0;
 };
@@ -66,6 +68,10 @@
     PublishedLimits callerLimits;
     /// Timeout of all published routes.
     std::chrono::milliseconds routeTimeout { 1500 };
+    /// Regions of the availability zones; VMs are started in "z1".
+    std::map<Utils::ZoneId, Utils::RegionId> regionByZone { { { "z1" }, { "r1" } } };
+    /// Home regions of the published routes, by the first part of their path.
+    std::map<std::string, std::string> homeRegions;
     /// Whether the VMs are told that the whole system starts for the first time.
     bool isFirstStart = false;
 };
@@ -74,8 +80,8 @@
 std::string uniqueLoopbackAddress(unsigned number);
 
 /// Adds an upstream of \a service and publishes its entry.
-TestUpstream& addUpstream(
-    TestEnvironment& environment, const std::string& id, const std::string& service, bool keyed = false);
+TestUpstream& addUpstream(TestEnvironment& environment, const std::string& id, const std::string& service,
+    bool keyed = false, const std::string& zone = "z1");
 
 /// Publishes the upstream's entry in the store with the next sequence number.
 void publishUpstreamEntry(
