--- a/src/libs/balancing/peerload.h
+++ b/src/libs/balancing/peerload.h
@@ -12,12 +12,12 @@
 struct PeerLoad {
     /// Empty until the other VM has answered.
     std::optional<Distance> distance;
-    /// Empty until then, too.
-    Utils::ZoneId zone;
     /// Requests that the other VM handles for this one.
     unsigned outstanding = 0;
     /// The other VM is not used before: it was unreachable, or reaches no upstream either.
     Utils::Instant avoidedUntil {};
+    /// Empty until the other VM has answered.
+    Utils::ZoneId zone {};
 };
 
 } // namespace Balancing
