Take bytes that are no response of HTTP for none

An upstream's stamped response with a status of 000, 007, 099, 600 or 999 reached callers as it was: the parser takes any three digits, and all under 500 counted as a response. 101 and interim responses were skipped like each other, those to calls (the store, other VMs, grants) without a bound.

A pure check (edge/responseframing) now finds a status outside of 100 to 599, 101, and more than 16 interim responses, for upstreams and for calls: the connection is closed, a request that may have run gets 502, a safe one may go elsewhere; counters crocus_invalid_responses_total and crocus_invalid_call_responses_total, lines response_invalid and call_response_invalid. Ruled out as faults, rows in the table: versions other than 1.0 and 1.1, status lines without a space or with another number of digits, and two status lines are rejected by the parser already; 204 and 304 with a body are delivered without it and the connection is closed; 205 with a body is delivered, as its length is known to all.

--- a/src/libs/edge/callpool.cpp
+++ b/src/libs/edge/callpool.cpp
@@ -1,5 +1,6 @@
 #include <edge/callpool.h>
 #include <edge/clock.h>
+#include <logging/log.h>
 
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
@@ -86,12 +87,34 @@
     return true;
 }
 
-void readResponse(CallPool& pool, std::uint64_t id, const std::shared_ptr<Call>& call)
+std::optional<ResponseFault> findFault(const Call& call, unsigned interimResponses)
+{
+    const ResponseHeader& header = call.parser->get();
+    const std::optional<ResponseFault> fault = findResponseFault(header);
+    if (!fault && isInterim(header) && interimResponses >= maxSkippedResponses)
+        return ResponseFault::ManyInterimResponses;
+    return fault;
+}
+
+/// Ends the call as the other end has sent what is no response.
+void rejectResponse(CallPool& pool, std::uint64_t id, const Call& call, ResponseFault fault)
+{
+    pool.invalidResponses.add(fault);
+    Logging::write(Logging::Level::Warning, "call_response_invalid",
+        { { "address", call.endpoint.address }, { "port", call.endpoint.port },
+            { "fault", Utils::enumName(responseFaultNames, fault) },
+            { "status", call.parser->get().result_int() } });
+    failCall(pool, id, CallOutcome::NoValidResponse);
+}
+
+/// \param interimResponses responses that were received before the final one.
+void readResponse(
+    CallPool& pool, std::uint64_t id, const std::shared_ptr<Call>& call, unsigned interimResponses = 0)
 {
     call->parser.emplace();
     call->parser->body_limit(call->maxResponseBytes);
-    http::async_read(
-        call->socket, call->buffer, *call->parser, [&pool, id, call](const ErrorCode& error, std::size_t) {
+    http::async_read(call->socket, call->buffer, *call->parser,
+        [&pool, id, call, interimResponses](const ErrorCode& error, std::size_t) {
             if (!isPending(pool, id))
                 return;
             if (error) {
@@ -99,10 +122,13 @@
                     failCall(pool, id, CallOutcome::NoValidResponse);
                 return;
             }
+            if (const std::optional<ResponseFault> fault = findFault(*call, interimResponses)) {
+                rejectResponse(pool, id, *call, *fault);
+                return;
+            }
             // The final response follows; it must not be left for the next call on the connection.
-            if (http::to_status_class(call->parser->get().result_int())
-                == http::status_class::informational) {
-                readResponse(pool, id, call);
+            if (isInterim(call->parser->get())) {
+                readResponse(pool, id, call, interimResponses + 1);
                 return;
             }
             CallResponse response;
--- a/src/libs/edge/callpool.h
+++ b/src/libs/edge/callpool.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <edge/call.h>
+#include <edge/responseframing.h>
+#include <metrics/counterfamily.h>
 
 #include <cstdint>
 #include <deque>
@@ -27,6 +29,7 @@
     /// Handlers of pending asynchronous operations share ownership of their call, as they use its buffers.
     std::unordered_map<std::uint64_t, std::shared_ptr<Call>> calls;
     std::map<Routing::Endpoint, std::deque<IdleConnection>> idleConnections;
+    Metrics::CounterFamily<ResponseFault, responseFaultNames.size()> invalidResponses;
 };
 
 /// Responses of the store may contain megabytes of records.
--- a/src/libs/edge/counters.h
+++ b/src/libs/edge/counters.h
@@ -3,6 +3,7 @@
 #include <balancing/attemptoutcome.h>
 #include <edge/forwardingoutcome.h>
 #include <edge/localresponsereason.h>
+#include <edge/responseframing.h>
 #include <metrics/counterfamily.h>
 #include <metrics/latencyhistogram.h>
 #include <platform/decodeerror.h>
@@ -17,6 +18,8 @@
     Metrics::CounterFamily<ForwardingOutcome, forwardingOutcomeNames.size()> forwardings;
     Metrics::CounterFamily<Platform::StoreOutcome, Platform::storeOutcomeNames.size()> storeCalls;
     Metrics::CounterFamily<Platform::DecodeError, Platform::decodeErrorNames.size()> decodeErrors;
+    /// Responses of upstreams to requests.
+    Metrics::CounterFamily<ResponseFault, responseFaultNames.size()> invalidResponses;
     Metrics::LatencyHistogram responseLatency;
     Metrics::LatencyHistogram attemptLatency;
     std::uint64_t retries = 0;
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -102,6 +102,12 @@
         "Handlers that ended with an exception", static_cast<double>(counters.failedHandlers));
     Internal::writeSingleSample(text, "crocus_unsigned_responses_total", "counter",
         "Responses without an upstream's signature", static_cast<double>(counters.unsignedResponses));
+    Metrics::writeFamily(text, "crocus_invalid_responses_total",
+        "Responses of upstreams that could be parsed and are not valid", "fault", responseFaultNames,
+        counters.invalidResponses);
+    Metrics::writeFamily(text, "crocus_invalid_call_responses_total",
+        "The same of the store, of other VMs, and of upstreams to calls of this VM", "fault",
+        responseFaultNames, node.calls.invalidResponses);
     Internal::writeSingleSample(text, "crocus_store_returns_total", "counter",
         "Returns of the store from an older copy", static_cast<double>(counters.storeReturns));
     Internal::writeSingleSample(text, "crocus_topic_restarts_total", "counter",
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -8,6 +8,7 @@
 #include <edge/pauses.h>
 #include <edge/payload.h>
 #include <edge/requestlog.h>
+#include <edge/responseframing.h>
 #include <edge/responsememory.h>
 #include <edge/upstreamreach.h>
 #include <edge/upstreams.h>
@@ -41,8 +42,6 @@
 /// Maximum response size. A response is buffered completely before it is forwarded, so that callers never get
 /// a truncated one.
 constexpr std::uint64_t maxResponseBytes = 64ULL << 20;
-/// Number of responses that belong to no request after which the connection is closed.
-constexpr unsigned maxSkippedResponses = 16;
 /// Subtracted from the remaining time sent to an upstream, so that a response sent at that deadline still
 /// arrives in time.
 constexpr Utils::Duration responseTransferMargin = std::chrono::milliseconds(5);
@@ -190,6 +189,16 @@
     finishAttempt(node, connection, outcome);
 }
 
+/// Ends the attempt as the upstream has sent what is no response; the request may have run all the same.
+void rejectResponse(Node& node, const ConnectionPtr& connection, ResponseFault fault, unsigned status)
+{
+    node.counters.invalidResponses.add(fault);
+    Logging::write(Logging::Level::Warning, "response_invalid",
+        { { "upstream", connection->upstream.value }, { "fault", Utils::enumName(responseFaultNames, fault) },
+            { "status", status } });
+    endAttempt(node, connection, AttemptOutcome::MalformedResponse);
+}
+
 /// Reads the next response after one that does not belong to the request.
 void skipResponse(Node& node, const ConnectionPtr& connection)
 {
@@ -236,7 +245,14 @@
     const bool canKeepAlive = connection->parser->keep_alive();
     HttpResponse response = connection->parser->release();
     releaseReceivedBytes(node, *connection);
-    if (http::to_status_class(response.result_int()) == http::status_class::informational) {
+    std::optional<ResponseFault> fault = findResponseFault(response);
+    if (isInterim(response) && connection->skippedResponses >= maxSkippedResponses)
+        fault = ResponseFault::ManyInterimResponses;
+    if (fault) {
+        rejectResponse(node, connection, *fault, response.result_int());
+        return;
+    }
+    if (isInterim(response)) {
         skipResponse(node, connection);
         return;
     }
