Limit what is kept of a request until it can be parsed

Callers that send a trailer without end behind a chunked body ended a process: the parser keeps the whole trailer until its end has come, neither the header's nor the body's limit applies, and the buffer of a caller's connection had no limit. The same held for a chunk's extensions, the digits of its length, and the status port; a frame of a subscriber was limited to 16 MB only, which six links make 96 MB of.

A caller's unparsed bytes are now limited to header_bytes and 1 KB (431, not run, reason header_too_large), the status port's to 128 KB, a subscriber's frame to 2 MB. Upstreams, other VMs and the store were limited before (128 KB unparsed).

Not limited: the number of connections whose headers are incomplete; each may hold header_bytes.

--- a/src/libs/edge/callers.cpp
+++ b/src/libs/edge/callers.cpp
@@ -30,6 +30,10 @@
 constexpr Utils::Duration bodyReadTimeout = std::chrono::seconds(10);
 /// Bytes that are read at once from a connection on which no request has begun; the usual header has less.
 constexpr std::size_t firstReadBytes = 1024;
+/// Bytes that are kept unparsed beside a header's limit: a chunk's line in front of a trailer.
+constexpr std::size_t maxChunkLineBytes = 1024;
+/// Least limit of the bytes that are kept unparsed, whatever the header's limit is.
+constexpr std::size_t minUnparsedBytes = 8192;
 /// A request's body may use the VM's memory divided by this if no configuration limits it.
 constexpr std::uint64_t bodyMemoryDivisor = 4;
 /// A body waits for memory for its caller's timeout divided by this, at most for the limit: callers give up a
@@ -137,7 +141,7 @@
 {
     LocalResponse localResponse;
     localResponse.reason = LocalResponseReason::BadRequest;
-    if (error == http::error::header_limit)
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
         localResponse.reason = LocalResponseReason::HeaderTooLarge;
     if (error == http::error::body_limit)
         localResponse.reason = LocalResponseReason::BodyTooLarge;
@@ -324,6 +328,16 @@
     return caller.buffer.size() > 0 && textOf(caller.buffer) != "\r";
 }
 
+/// Limits what is kept of a request until it can be parsed. The parser limits headers and bodies itself, but
+/// keeps the line of a chunk and a whole trailer until their end has come.
+void limitUnparsedBytes(CallerConnection& caller)
+{
+    const std::size_t headerBytes = caller.limits.maxHeaderBytes;
+    // What an earlier request has left behind may be longer.
+    caller.buffer.max_size(
+        std::max({ headerBytes + maxChunkLineBytes, minUnparsedBytes, caller.buffer.size() }));
+}
+
 void beginHeader(Node& node, const std::shared_ptr<CallerConnection>& caller)
 {
     caller->buffer.consume(countLeadingEmptyLines(textOf(caller->buffer)));
@@ -332,6 +346,7 @@
         return;
     }
     caller->limits = callerLimitsFor(node, *caller);
+    limitUnparsedBytes(*caller);
     caller->parser.emplace();
     caller->parser->header_limit(caller->limits.maxHeaderBytes);
     caller->parser->body_limit(caller->limits.maxBodyBytes);
--- a/src/libs/edge/relaylinks.cpp
+++ b/src/libs/edge/relaylinks.cpp
@@ -24,6 +24,9 @@
 /// itself.
 constexpr std::size_t maxSendQueueBytes = std::size_t(8) << 20;
 
+/// Limit of what a subscriber sends in one frame: subscriptions and reports, no records.
+constexpr std::size_t maxSubscriberFrameBytes = std::size_t(2) << 20;
+
 bool isOpen(const Node& node, const RelayLink& link)
 {
     return node.relay.subscribers.contains(link.id)
@@ -102,6 +105,13 @@
         []() { return false; });
 }
 
+/// Whether a frame of a subscriber, or of what connects like one, is longer than any that it has to send.
+bool exceedsFrameLimit(const Node& node, const LinkPtr& link)
+{
+    const bool isSource = node.relay.sourceLink == link || node.relay.probeLink == link;
+    return !isSource && link->received.size() > maxSubscriberFrameBytes;
+}
+
 void readFrames(Node& node, const LinkPtr& link)
 {
     link->socket.async_read_some(
@@ -118,6 +128,8 @@
             link->received.append(link->readBuffer.data(), size);
             if (!handleFrames(node, link))
                 closeLink(node, link, "frame");
+            else if (isOpen(node, *link) && exceedsFrameLimit(node, link))
+                closeLink(node, link, "frame_too_long");
             else if (isOpen(node, *link))
                 readFrames(node, link);
         });
--- a/src/libs/edge/statusserver.cpp
+++ b/src/libs/edge/statusserver.cpp
@@ -24,6 +24,7 @@
     explicit Client(Tcp::socket socket)
         : timer(socket.get_executor())
         , socket(std::move(socket))
+        , buffer(maxUnparsedBytes)
     {
     }
 
