Limit the unparsed bytes of the daemon's caller and upstream connections

gateway.unparsedbytes without the mechanism: 20 of 20 assertions fail (a buffer of 6 MB for 4 MB sent); with it all 20 pass. Built alone for this, against the two headers with and without the limit; the other tests of the library were not run before this commit.

--- a/src/libs/gateway/callerconnection.h
+++ b/src/libs/gateway/callerconnection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <gateway/gatewayconstants.h>
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
@@ -9,6 +11,7 @@
 struct CallerConnection {
     explicit CallerConnection(boost::asio::ip::tcp::socket socket)
         : stream(std::move(socket))
+        , buffer(maxUnparsedBytes)
     {
     }
 
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -12,6 +12,9 @@
 inline constexpr std::uint32_t maxRequestHeadBytes = 16U << 10U;
 /// Longest head of an upstream's answer, in bytes.
 inline constexpr std::uint32_t maxAnswerHeadBytes = 32U << 10U;
+/// Bytes of a connection that wait to be parsed: a head, or the line of a chunk or a trailer, which the
+/// parser keeps until their end has come.
+inline constexpr std::size_t maxUnparsedBytes = 64U << 10U;
 /// Bytes of an answer that are read ahead before its head is passed on, so that a small one arrives whole or
 /// not at all.
 inline constexpr std::size_t answerHoldBytes = 64U << 10U;
--- a/src/libs/gateway/upstreamconnection.h
+++ b/src/libs/gateway/upstreamconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <gateway/gatewayconstants.h>
 #include <utils/time.h>
 #include <wire/wireconstants.h>
 
@@ -14,6 +15,7 @@
 struct UpstreamConnection {
     explicit UpstreamConnection(const boost::asio::any_io_executor& executor)
         : stream(executor)
+        , buffer(maxUnparsedBytes)
         , chunk(Wire::maxChunkBytes)
     {
     }
