Spread busy spans of keys over idle holders within about a second

Cause: a span of adjacent keys that becomes busy lay with one upstream for seconds: its rate was known from an average with a half-life of 1.5 s, plans came every 700 ms, each moved at most one piece for four upstreams, and after half a minute the limit of 512 segments kept spans from being cut. A span that grew by a busy piece was without a holder meanwhile.

Calls go out when a response makes them due. The order of write, release and grant and the waits of granting are unchanged.

Ruled out: planning every 100 ms (more keys moved, spread no sooner in the replay).

--- a/src/libs/edge/assignmentrecords.cpp
+++ b/src/libs/edge/assignmentrecords.cpp
@@ -1,6 +1,7 @@
 #include <edge/assignmentrecords.h>
 #include <edge/clusterviewupdates.h>
 #include <edge/clock.h>
+#include <edge/leaderelection.h>
 #include <edge/leadershiplog.h>
 #include <edge/topicfollowing.h>
 #include <edge/relay.h>
@@ -55,6 +56,7 @@
         queueAssignmentChange(node, previous, granter->second.assignment, offset++);
     }
     flushRelay(node);
+    expediteLeaderTasks(node);
 }
 
 std::map<Utils::ServiceId, Granting::KeyAssignment> decodeAssignments(const Platform::StorePage& page)
--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -17,6 +17,7 @@
 #include <edge/storeera.h>
 #include <edge/topics.h>
 #include <granting/grantingconstants.h>
+#include <granting/planschedule.h>
 #include <granting/recordcodec.h>
 #include <granting/storereturn.h>
 #include <relay/relaytree.h>
@@ -185,6 +186,7 @@
 
 void tick(Node& node)
 {
+    node.leader.isTickExpedited = false;
     if (node.stopping && node.closing)
         return;
     const Utils::Instant at = now();
@@ -248,6 +250,18 @@
     return lowCapacityDelay + remoteStoreDelay + randomDelay / 4;
 }
 
+void expediteLeaderTasks(Node& node)
+{
+    if (node.leader.isTickExpedited || !node.leader.leadership.term)
+        return;
+    node.leader.isTickExpedited = true;
+    node.leader.timer.expires_after(Granting::nextCallDelay);
+    node.leader.timer.async_wait([&node](const Internal::ErrorCode& error) {
+        if (!error)
+            Internal::tick(node);
+    });
+}
+
 void startLeaderElection(Node& node)
 {
     node.leader.electionStartedAt = now();
@@ -286,6 +300,7 @@
         Granting::decay(load, now());
         for (auto it = keys.counts.begin(); it != keys.counts.end(); ++it)
             Granting::addRequests(load, it->first, it->second);
+        node.leader.hasUnplannedReports = true;
     }
 }
 
