--- a/tests/auto/granting/hotspanreplay.cpp
+++ b/tests/auto/granting/hotspanreplay.cpp
@@ -1,5 +1,6 @@
 #include "hotspanreplay.h"
 
+#include <granting/grantingconstants.h>
 #include <granting/planplacement.h>
 #include <granting/planschedule.h>
 
@@ -22,11 +23,14 @@
 constexpr Utils::Duration writeLatency = 30ms;
 /// Of a call, and of an update to the VMs.
 constexpr Utils::Duration messageLatency = 10ms;
+/// Time without a leader after one is lost.
+constexpr Utils::Duration leaderlessTime = leaderLeaseDuration + expiryMargin + maxLeaseAcquisitionJitter;
 constexpr double spreadShare = 0.05;
 constexpr int noHolder = -1;
 
 struct Change {
     KeyPlacement placement;
+    Utils::Instant plannedAt;
     Utils::Instant releasedAt;
     Utils::Instant settledAt;
 };
@@ -82,6 +86,13 @@
     }
 }
 
+bool hasLeader(const Replay& replay, Utils::Instant at)
+{
+    const Utils::Instant lostAt = replay.start + replay.load.leaderLostAfter;
+    return replay.load.leaderLostAfter == Utils::Duration::zero() || at < lostAt
+        || at >= lostAt + leaderlessTime;
+}
+
 void deliverReports(Replay& replay, Utils::Instant at)
 {
     // VMs behind relays first: what they report may pass at the same time.
@@ -95,7 +106,7 @@
         for (auto it = own.counts.begin(); it != own.counts.end(); ++it) {
             if (vm >= replay.load.directVms)
                 replay.vms[vm % replay.load.directVms].counts[it->first] += it->second;
-            else
+            else if (hasLeader(replay, at))
                 addRequests(replay.keyLoad, it->first, it->second);
         }
         replay.hasNewReports = replay.hasNewReports || vm < replay.load.directVms;
@@ -137,7 +148,7 @@
         if (isServedBy(replay, placement))
             continue;
         const Utils::Instant releasedAt = at + writeLatency + nextCallDelay;
-        changes.push_back({ placement, releasedAt,
+        changes.push_back({ placement, at, releasedAt,
             releasedAt + replay.load.work + nextCallDelay + confirmationPlanInterval / 2 + writeLatency
                 + 3 * messageLatency });
         ++replay.result.movedSegments;
@@ -156,6 +167,9 @@
     for (const Change& change : replay.changes) {
         if (change.releasedAt > at)
             continue;
+        if (change.settledAt <= at)
+            replay.result.longestChangeSeconds = std::max(replay.result.longestChangeSeconds,
+                std::chrono::duration<double>(at - change.plannedAt).count());
         const int holder
             = change.settledAt <= at ? replay.targetIndexes.at(change.placement.holder.value) : noHolder;
         std::fill(replay.holders.begin() + change.placement.span.first,
@@ -165,6 +179,15 @@
         replay.hasSettled = true;
 }
 
+void loseLeader(Replay& replay)
+{
+    for (Change& change : replay.changes) {
+        change.releasedAt += leaderlessTime;
+        change.settledAt += leaderlessTime;
+    }
+    replay.keyLoad = {};
+}
+
 void planIfDue(Replay& replay, Utils::Instant at)
 {
     decay(replay.keyLoad, at);
@@ -247,17 +270,22 @@
         if (isSpanStart) {
             ++spans;
             spreadAt = {};
+            replay.result.lastSecondsUntilSpread = 0;
         }
         drawRequests(replay, at);
         deliverReports(replay, at);
-        if ((at - replay.start) % (2 * step) == Utils::Duration::zero())
+        if (load.leaderLostAfter != Utils::Duration::zero() && at == replay.start + load.leaderLostAfter)
+            loseLeader(replay);
+        if (hasLeader(replay, at) && (at - replay.start) % (2 * step) == Utils::Duration::zero())
             planIfDue(replay, at);
         advanceChanges(replay, at);
         const double beyondShare = countRequests(replay, at);
         if (spreadAt == Utils::Instant {} && beyondShare <= spreadShare)
             spreadAt = at;
-        if (isHot(replay, at) && spreadAt == Utils::Instant {})
+        if (isHot(replay, at) && spreadAt == Utils::Instant {}) {
+            replay.result.lastSecondsUntilSpread += std::chrono::duration<double>(step).count();
             secondsUnspread += std::chrono::duration<double>(step).count();
+        }
     }
     replay.result.secondsUntilSpread = secondsUnspread / std::max(spans, 1U);
     return replay.result;
--- a/tests/auto/granting/hotspanreplay.h
+++ b/tests/auto/granting/hotspanreplay.h
@@ -18,6 +18,8 @@
     Utils::Duration hotTime;
     unsigned vms;
     unsigned directVms;
+    /// When the leader is lost, from the start on; none is lost if this is zero.
+    Utils::Duration leaderLostAfter {};
 };
 
 /// In requests, unless stated otherwise.
@@ -36,8 +38,13 @@
     /// Mean time from the start of a span until a twentieth of all requests or less exceeds what the holders
     /// can do or waits for a holder.
     double secondsUntilSpread = 0;
+    /// The same for the last span alone.
+    double lastSecondsUntilSpread = 0;
+    /// The longest time for which a segment changed hands.
+    double longestChangeSeconds = 0;
 };
 
 /// Replays \a load in virtual time for 32 s: VMs count and report requests, the leader plans, and keys change
-/// hands with the delays of writes, releases and grants.
+/// hands with the delays of writes, releases and grants. The leader that follows a lost one knows the record,
+/// but no rates, and begins changes that were under way anew.
 HotSpanResult replayHotSpans(const HotSpanLoad& load, std::uint64_t seed);
--- a/tests/auto/granting/tst_hotspans.cpp
+++ b/tests/auto/granting/tst_hotspans.cpp
@@ -49,3 +49,20 @@
         CHECK(result.coversAllKeys);
     }
 }
+
+TEST_CASE(
+    "After the loss of the leader at the peak nothing is stuck and the next span is spread", "[hotspans]")
+{
+    // Half a second into a span, while its pieces change hands.
+    const Utils::Duration lostAfter = GENERATE(values<Utils::Duration>({ 12100ms, 12500ms, 14000ms }));
+    const HotSpanResult result = replayHotSpans({ 150, 4, 230ms, 1250, 0.4, 200, 5s, 60, 60, lostAfter }, 1);
+    std::printf(
+        "leader lost after %.1f s: beyond capacity %.3f, during moves %.3f, longest change %.2f s, last "
+        "span spread after %.2f s\n",
+        std::chrono::duration<double>(lostAfter).count(), result.beyondCapacity / result.total,
+        result.duringMoves / result.total, result.longestChangeSeconds, result.lastSecondsUntilSpread);
+    // The time without a leader, the change, and a step each for the two.
+    CHECK(result.longestChangeSeconds <= 4.5);
+    CHECK(result.lastSecondsUntilSpread <= maxSecondsUntilSpread);
+    CHECK(result.coversAllKeys);
+}
