--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -252,7 +252,8 @@
 
 void expediteLeaderTasks(Node& node)
 {
-    if (node.leader.isTickExpedited || !node.leader.leadership.term)
+    // A VM that stops hands its work on and begins nothing early.
+    if (node.leader.isTickExpedited || node.stopping || !node.leader.leadership.term)
         return;
     node.leader.isTickExpedited = true;
     node.leader.timer.expires_after(Granting::nextCallDelay);
