Let requests wait on the VM until upstreams have room

A request takes a place at the upstreams of its service, and home regions, or at the holder of its key; without a free one it waits in the order of its worth, or is rejected at once. Retries take a place at once. Ends of attempts, changes of the directory and timers start what waits; callers that leave, deadlines, a stop and a loss of reach take requests out.

Elsewhere admission decides as before.

--- a/src/app/crocusferryedge/main.cpp
+++ b/src/app/crocusferryedge/main.cpp
@@ -92,6 +92,7 @@
 struct Options {
     std::string settingsPath;
     std::uint16_t upstreamPortOffset = 0;
+    Routing::WorkQueueMode workQueueMode = Routing::WorkQueueMode::Auto;
 };
 
 Options parseOptions(int argc, char** argv)
@@ -106,11 +107,20 @@
     TCLAP::ValueArg<std::uint16_t> portOffset("", "upstream-port-offset",
         "Added to the ports of upstreams, for tests with a proxy in front of them", false, 0, "number",
         command);
+    std::vector<std::string> modes;
+    for (const Utils::EnumName<Routing::WorkQueueMode>& mode : Routing::workQueueModeNames)
+        modes.emplace_back(mode.name);
+    TCLAP::ValuesConstraint<std::string> allowedModes(modes);
+    TCLAP::ValueArg<std::string> workQueue("", "work-queue",
+        "Whether requests wait until upstreams have room; auto: where many VMs share few slots", false,
+        "auto", &allowedModes, command);
     command.parse(argc, argv);
     const char* const environmentPath = std::getenv(Platform::settingsPathVariable);
     Options options;
     options.settingsPath = path.isSet() ? path.getValue() : environmentPath ? environmentPath : "";
     options.upstreamPortOffset = portOffset.getValue();
+    options.workQueueMode = Utils::enumFromName(Routing::workQueueModeNames, workQueue.getValue())
+                                .value_or(Routing::WorkQueueMode::Auto);
     return options;
 }
 
@@ -124,6 +134,7 @@
     if (!settings)
         return exitBadSettings;
     settings->upstreamPortOffset = options.upstreamPortOffset;
+    settings->workQueueMode = options.workQueueMode;
     Logging::configure(Logging::Level::Info, settings->name.value);
     return runService(options.settingsPath, *settings);
 }
--- a/src/libs/edge/counters.h
+++ b/src/libs/edge/counters.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <balancing/attemptoutcome.h>
+#include <balancing/queuerejection.h>
 #include <edge/forwardingoutcome.h>
 #include <edge/localresponsereason.h>
 #include <metrics/counterfamily.h>
@@ -14,6 +15,8 @@
 struct Counters {
     Metrics::CounterFamily<LocalResponseReason, localResponseReasonNames.size()> localResponses;
     Metrics::CounterFamily<Balancing::AttemptOutcome, Balancing::attemptOutcomeNames.size()> attempts;
+    Metrics::CounterFamily<Balancing::QueueRejectionReason, Balancing::queueRejectionReasonNames.size()>
+        queueRejections;
     Metrics::CounterFamily<ForwardingOutcome, forwardingOutcomeNames.size()> forwardings;
     Metrics::CounterFamily<Platform::StoreOutcome, Platform::storeOutcomeNames.size()> storeCalls;
     Metrics::CounterFamily<Platform::DecodeError, Platform::decodeErrorNames.size()> decodeErrors;
--- a/src/libs/edge/exchange.h
+++ b/src/libs/edge/exchange.h
@@ -72,6 +72,12 @@
     std::string peer;
     /// Number of attempts that VM may make.
     unsigned forwardedAttempts = 0;
+    /// The scope in which the exchange waits for room; empty if it does not.
+    std::string queueScope;
+    /// The scope in which it has a place at an upstream; empty if it has none.
+    std::string placeScope;
+    /// Whether it has waited and may be sent now.
+    bool hasLeftQueue = false;
     /// Whether the exchange waits for a holder of its key that can serve it.
     bool isWaitingForHolder = false;
     Utils::Instant waitingForHolderSince {};
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -18,6 +18,7 @@
 #include <edge/exchangesteps.h>
 #include <edge/requestlog.h>
 #include <edge/upstreams.h>
+#include <edge/waitingrequests.h>
 #include <platform/headers.h>
 #include <utils/hash.h>
 
@@ -56,6 +57,7 @@
     cancelTimer(exchange->deadlineTimer);
     cancelTimer(exchange->holderWaitTimer);
     cancelTimer(exchange->forwardTimer);
+    leaveQueue(node, *exchange);
     node.traffic.exchanges.erase(exchange->id);
     releaseRequestBody(node, *exchange);
 }
@@ -91,8 +93,10 @@
 void armDeadline(Node& node, const ExchangePtr& exchange)
 {
     startTimer(exchange->deadlineTimer, exchange->deadlineAt - now(), [&node, exchange] {
-        if (isActive(node, *exchange))
-            respondLocally(node, exchange, LocalResponseReason::DeadlineExceeded, {});
+        if (!isActive(node, *exchange))
+            return;
+        recordMissingResponse(node, *exchange);
+        respondLocally(node, exchange, LocalResponseReason::DeadlineExceeded, {});
     });
 }
 
@@ -219,13 +223,17 @@
         respondLocally(node, exchange, LocalResponseReason::LimitReached, *limitDelay);
         return;
     }
+    if (!candidates.empty() && !takePlace(node, exchange, candidates, at))
+        return;
     const std::optional<Balancing::Placement> placement
         = Balancing::chooseUpstream(candidates, makePlacementRequest(node, *exchange), at);
     if (!placement) {
         respondLocally(node, exchange, LocalResponseReason::NoUpstream, defaultRetryAfter);
         return;
     }
-    if (exchange->attemptCount == 0) {
+    // The room of a key's holder depends on other VMs most: it is judged by what the holder reports, too.
+    const bool isAdmitted = !exchange->service->keyed && isQueueInUse(node, *exchange);
+    if (exchange->attemptCount == 0 && !isAdmitted) {
         const Balancing::AdmissionDecision decision
             = decideAdmission(node, *exchange, *placement, candidates[placement->index].slots, at);
         if (!decision.admitted) {
@@ -367,6 +375,7 @@
         return;
     const Internal::ExchangePtr exchange = found->second;
     exchange->connectionId = 0;
+    releasePlace(node, *exchange);
     exchange->mayHaveRun = exchange->mayHaveRun || !Balancing::hasNotRun(outcome);
     exchange->unconnectedAttemptCount += outcome == Balancing::AttemptOutcome::NotConnected ? 1 : 0;
     node.counters.attempts.add(outcome);
@@ -476,6 +485,7 @@
 
 void resumeWaitingExchanges(Node& node)
 {
+    startWaitingRequests(node);
     const Utils::Instant at = now();
     std::vector<Internal::ExchangePtr> waiting;
     for (auto it = node.traffic.exchanges.begin(); it != node.traffic.exchanges.end(); ++it) {
--- a/src/libs/edge/localresponsereason.h
+++ b/src/libs/edge/localresponsereason.h
@@ -28,6 +28,8 @@
     Overload,
     /// Admission control: a more urgent request would not find a free slot.
     YieldedToUrgent,
+    /// The request would have to wait longer for room at upstreams than is left to it.
+    NoRoomInTime,
     /// All upstreams for the request name a limit, and it is used up.
     LimitReached,
     /// All upstreams for the request have asked for a pause.
@@ -44,7 +46,7 @@
     Stopping,
 };
 
-inline constexpr std::array<Utils::EnumName<LocalResponseReason>, 19> localResponseReasonNames { {
+inline constexpr std::array<Utils::EnumName<LocalResponseReason>, 20> localResponseReasonNames { {
     { LocalResponseReason::NoConfiguration, "no_configuration" },
     { LocalResponseReason::StaleConfiguration, "stale_configuration" },
     { LocalResponseReason::NoRoute, "no_route" },
@@ -57,6 +59,7 @@
     { LocalResponseReason::KeyWithoutHolder, "key_without_holder" },
     { LocalResponseReason::Overload, "overload" },
     { LocalResponseReason::YieldedToUrgent, "yielded_to_urgent" },
+    { LocalResponseReason::NoRoomInTime, "no_room_in_time" },
     { LocalResponseReason::LimitReached, "limit_reached" },
     { LocalResponseReason::UpstreamsPaused, "upstreams_paused" },
     { LocalResponseReason::RejectedByUpstreams, "upstreams_refused" },
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -5,6 +5,7 @@
 #include <edge/metricspage.h>
 #include <edge/pauses.h>
 #include <edge/upstreamreach.h>
+#include <edge/waitingrequests.h>
 #include <metrics/exposition.h>
 
 namespace Edge {
@@ -81,6 +82,9 @@
         localResponseReasonNames, counters.localResponses);
     Metrics::writeFamily(text, "crocus_attempts_total", "Attempts at upstreams", "end",
         Balancing::attemptOutcomeNames, counters.attempts);
+    Metrics::writeFamily(text, "crocus_queue_rejections_total",
+        "Requests that did not wait for room any longer", "reason", Balancing::queueRejectionReasonNames,
+        counters.queueRejections);
     Metrics::writeFamily(text, "crocus_forwardings_total", "Requests handed to other VMs", "end",
         forwardingOutcomeNames, counters.forwardings);
     Internal::writeSingleSample(text, "crocus_forwarded_requests_total", "counter",
@@ -113,6 +117,7 @@
     Internal::writeSingleSample(text, "crocus_reach_losses_total", "counter",
         "Times that this VM reached no upstream any more", static_cast<double>(node.reachProbing.losses));
     Internal::writeGauges(text, node);
+    writeQueueGauges(text, node);
     Metrics::writeHeading(
         text, "crocus_answer_seconds", "histogram", "From a request to an upstream's answer");
     Metrics::writeHistogram(text, "crocus_answer_seconds", "of", "request", counters.responseLatency);
--- a/src/libs/edge/requestlog.cpp
+++ b/src/libs/edge/requestlog.cpp
@@ -185,4 +185,17 @@
             { "elapsed_ms", Internal::elapsedMs(exchange, now) } });
 }
 
+void logQueueRejection(const Exchange& exchange, const WorkScope& scope,
+    const Balancing::QueueRejection& rejection, Utils::Instant now)
+{
+    Logging::write(Logging::Level::Info, "queue_rejected",
+        { { "request", exchange.callerHeaders.requestId.value }, { "service", scope.service.value },
+            { "rank", exchange.route->priority },
+            { "reason", Utils::enumName(Balancing::queueRejectionReasonNames, rejection.reason) },
+            { "waiting", scope.queue.requests.size() }, { "at_upstreams", scope.limit.inUse },
+            { "limit", scope.limit.requests },
+            { "target_ms", Utils::toMilliseconds(exchange.targetAt - now) },
+            { "left_ms", Utils::toMilliseconds(exchange.deadlineAt - now) } });
+}
+
 } // namespace Edge
--- a/src/libs/edge/requestlog.h
+++ b/src/libs/edge/requestlog.h
@@ -2,6 +2,8 @@
 
 #include <balancing/attemptoutcome.h>
 #include <balancing/nextstep.h>
+#include <balancing/queuerejection.h>
+#include <edge/workscope.h>
 #include <edge/exchange.h>
 #include <edge/forwardingoutcome.h>
 #include <edge/node.h>
@@ -64,4 +66,8 @@
 /// Logs that the caller disconnected before its response.
 void logCallerDisconnected(const Exchange& exchange, Utils::Instant now);
 
+/// Logs that a request does not wait for room any longer, with what is ahead of it.
+void logQueueRejection(const Exchange& exchange, const WorkScope& scope,
+    const Balancing::QueueRejection& rejection, Utils::Instant now);
+
 } // namespace Edge
--- a/src/libs/edge/service.cpp
+++ b/src/libs/edge/service.cpp
@@ -10,6 +10,7 @@
 #include <edge/loadreporting.h>
 #include <edge/service.h>
 #include <edge/topics.h>
+#include <edge/waitingrequests.h>
 #include <logging/log.h>
 #include <utils/hash.h>
 
@@ -163,6 +164,7 @@
         node.closing = true;
         closeAcceptor(node, service.callerAcceptor, false);
         closeAcceptor(node, service.peerAcceptor, true);
+        reconsiderWaitingRequests(node);
     }
     if (node.closing)
         closeIdleCallers(node);
--- a/src/libs/edge/traffic.h
+++ b/src/libs/edge/traffic.h
@@ -3,6 +3,7 @@
 #include <balancing/intakebudget.h>
 #include <balancing/poisonrequesttracker.h>
 #include <balancing/retrybudget.h>
+#include <balancing/roomshare.h>
 #include <balancing/routestats.h>
 #include <balancing/servicestats.h>
 #include <edge/callerconnection.h>
@@ -11,6 +12,7 @@
 #include <edge/upstreamconnection.h>
 #include <edge/unresolvedattempt.h>
 #include <edge/upstreamstate.h>
+#include <edge/workscope.h>
 #include <routing/splitstate.h>
 
 #include <cstdint>
@@ -33,6 +35,10 @@
     std::unordered_map<Utils::ServiceId, Balancing::RetryBudget> retryBudgets;
     /// Key: name of the route.
     std::unordered_map<std::string, Balancing::RouteStats> routeStats;
+    /// This VM's parts of the slots of services, while the leader's totals are known.
+    std::unordered_map<Utils::ServiceId, Balancing::RoomShare> roomShares;
+    /// Waiting requests and limits. Key: the service with its home regions, or the holder.
+    std::unordered_map<std::string, WorkScope> workScopes;
     Routing::SplitState splitState;
     Balancing::PoisonRequestTracker poisonRequests;
     /// Attempts that were given up recently, the oldest first.
--- a/src/libs/edge/upstreamreach.cpp
+++ b/src/libs/edge/upstreamreach.cpp
@@ -1,6 +1,7 @@
 #include <edge/clock.h>
 #include <edge/upstreamreach.h>
 #include <edge/upstreams.h>
+#include <edge/waitingrequests.h>
 #include <logging/log.h>
 
 #include <algorithm>
@@ -34,6 +35,7 @@
     ++node.reachProbing.losses;
     logReachLost(node);
     endAttemptsAfterReachLoss(node);
+    reconsiderWaitingRequests(node);
 }
 
 void handleReachRegained(Utils::Instant lostAt)
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -11,6 +11,7 @@
 #include <edge/responsememory.h>
 #include <edge/upstreamreach.h>
 #include <edge/upstreams.h>
+#include <edge/waitingrequests.h>
 #include <logging/log.h>
 #include <platform/headers.h>
 
@@ -152,6 +153,7 @@
     Balancing::UpstreamLoad& load = node.traffic.upstreamStates[connection.upstream].load;
     Balancing::ServiceStats& stats = node.traffic.serviceStats[connection.service];
     const Utils::Instant at = now();
+    recordOutcomeForLimit(node, connection.exchangeId, outcome, serverHeaders.load, at - connection.sentAt);
     switch (outcome) {
     case AttemptOutcome::Responded:
     case AttemptOutcome::ServerError:
--- a/src/libs/routing/vmsettings.h
+++ b/src/libs/routing/vmsettings.h
@@ -2,6 +2,7 @@
 
 #include <routing/operatinglimits.h>
 #include <routing/endpoint.h>
+#include <routing/workqueuemode.h>
 #include <utils/ids.h>
 
 #include <cstdint>
@@ -32,6 +33,7 @@
     bool isFirstStart = false;
     /// Added to the ports of upstreams, so that a test can run a proxy for each VM in front of them.
     std::uint16_t upstreamPortOffset = 0;
+    WorkQueueMode workQueueMode = WorkQueueMode::Auto;
     /// Fraction of a CPU core that is available to this VM.
     double cpuShare = 0.2;
     /// Bandwidth of the link of this VM in Mbit/s; 0 if it is not known.
