--- a/src/libs/balancing/loadmodel.cpp
+++ b/src/libs/balancing/loadmodel.cpp
@@ -24,15 +24,33 @@
     load.awaitingResponseSince = load.outstanding > 0 ? std::optional<Utils::Instant>(now) : std::nullopt;
 }
 
+void recordWorkFactor(UpstreamLoad& load, double workFactor)
+{
+    load.workFactor = workFactor;
+    const double usual = load.usualWorkFactor.value_or(workFactor);
+    load.usualWorkFactor = usual + (workFactor - usual) * sampleWeight;
+}
+
 void recordReportedLoad(
     UpstreamLoad& load, ServiceStats& stats, const Routing::ReportedLoad& reported, Utils::Instant now)
 {
     const double total = static_cast<double>(reported.running) + reported.waiting;
     load.otherVmRequests = std::max(0.0, total - load.outstanding);
     load.loadReportedAt = now;
+    if (reported.workFactor)
+        recordWorkFactor(load, *reported.workFactor);
     stats.meanOtherVmRequests += (load.otherVmRequests - stats.meanOtherVmRequests) * sampleWeight / 2;
 }
 
+/// The work factor that the upstream has reported, closer to its usual one the older the report is.
+double estimateWorkFactor(const UpstreamLoad& load, Utils::Instant now)
+{
+    if (!load.usualWorkFactor)
+        return 1;
+    const double halfLives = std::chrono::duration<double>(now - load.loadReportedAt) / workFactorHalfLife;
+    return *load.usualWorkFactor + (load.workFactor - *load.usualWorkFactor) * std::exp2(-halfLives);
+}
+
 void eject(UpstreamLoad& load, Utils::Instant now)
 {
     const unsigned doublings = std::min(load.consecutiveFailures - failuresToEject, 3U);
@@ -70,8 +88,11 @@
     const bool wasQueued = sample.reportedLoad && sample.reportedLoad->waiting > 0;
     if (wasQueued || !sample.baselineLatency || *sample.baselineLatency <= Utils::Duration::zero())
         return;
-    const double ratio = std::clamp(std::chrono::duration<double>(sample.latency) / *sample.baselineLatency,
-        Internal::minSlowdownFactor, Internal::maxSlowdownFactor);
+    // What the reported work factor explains is no property of the upstream.
+    const double workFactor = sample.reportedLoad ? sample.reportedLoad->workFactor.value_or(1) : 1;
+    const double ratio
+        = std::clamp(std::chrono::duration<double>(sample.latency) / *sample.baselineLatency / workFactor,
+            Internal::minSlowdownFactor, Internal::maxSlowdownFactor);
     load.slowdownFactor += (ratio - load.slowdownFactor) * sampleWeight;
 }
 
@@ -114,7 +135,7 @@
 Utils::Duration estimateLatency(const UpstreamLoad& load, const ServiceStats& stats,
     Utils::Duration baselineLatency, unsigned slots, double coldStartFactor, Utils::Instant now)
 {
-    const double factor = load.slowdownFactor * coldStartFactor;
+    const double factor = load.slowdownFactor * coldStartFactor * Internal::estimateWorkFactor(load, now);
     const double requests = estimateLoad(load, stats, now);
     const double queuedRequests = std::max(0.0, requests - slots + 1);
     const double hiddenRequests
--- a/src/libs/balancing/loadmodel.h
+++ b/src/libs/balancing/loadmodel.h
@@ -13,6 +13,8 @@
 /// Time after which the weight of a reported load has halved. Requests take about as long, so most of those
 /// that were reported have completed by then.
 inline constexpr Utils::Duration reportedLoadHalfLife = std::chrono::milliseconds(400);
+/// The same for the reported work factor, which changes several times a second.
+inline constexpr Utils::Duration workFactorHalfLife = std::chrono::milliseconds(200);
 /// Weight of a new sample in the exponential moving averages.
 inline constexpr double sampleWeight = 0.2;
 /// Number of consecutive failures after which an upstream is ejected.
--- a/src/libs/balancing/peerload.h
+++ b/src/libs/balancing/peerload.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <balancing/distance.h>
+#include <utils/ids.h>
 #include <utils/time.h>
 
 #include <optional>
@@ -15,6 +16,8 @@
     unsigned outstanding = 0;
     /// The other VM is not used before: it was unreachable, or reaches no upstream either.
     Utils::Instant avoidedUntil {};
+    /// Empty until the other VM has answered.
+    Utils::ZoneId zone {};
 };
 
 } // namespace Balancing
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -2,6 +2,7 @@
 #include <balancing/chooseupstream.h>
 #include <balancing/decidenext.h>
 #include <balancing/loadmodel.h>
+#include <balancing/preferredupstreams.h>
 #include <balancing/yielding.h>
 #include <edge/bodyintake.h>
 #include <edge/callerresponses.h>
@@ -17,6 +18,7 @@
 #include <edge/exchanges.h>
 #include <edge/exchangesteps.h>
 #include <edge/requestlog.h>
+#include <edge/upstreamplacement.h>
 #include <edge/upstreams.h>
 #include <edge/waitingrequests.h>
 #include <platform/headers.h>
@@ -225,10 +227,13 @@
     }
     if (!candidates.empty() && !takePlace(node, exchange, candidates, at))
         return;
+    if (!exchange->service->keyed)
+        Balancing::keepPreferred(candidates, node.traffic.serviceStats[exchange->service->id],
+            Utils::stableHash(node.settings.name.value), at);
     const std::optional<Balancing::Placement> placement
         = Balancing::chooseUpstream(candidates, makePlacementRequest(node, *exchange), at);
     if (!placement) {
-        respondLocally(node, exchange, LocalResponseReason::NoUpstream, defaultRetryAfter);
+        respondLocally(node, exchange, missingUpstreamReason(node, *exchange, at), defaultRetryAfter);
         return;
     }
     // The room of a key's holder depends on other VMs most: it is judged by what the holder reports, too.
--- a/src/libs/edge/localresponsereason.h
+++ b/src/libs/edge/localresponsereason.h
@@ -20,6 +20,10 @@
     MemoryLimitReached,
     /// No usable upstream of the service is known.
     NoUpstream,
+    /// No usable upstream, or not the holder of the key, is in a home region of the route.
+    NoUpstreamInHomes,
+    /// All usable upstreams for the request are in evacuated availability zones.
+    ZonesEvacuated,
     /// This VM reaches no upstream, and no other VM can send the request to one.
     Unreachable,
     /// The request's key has no holder that can serve it.
@@ -46,7 +50,7 @@
     Stopping,
 };
 
-inline constexpr std::array<Utils::EnumName<LocalResponseReason>, 20> localResponseReasonNames { {
+inline constexpr std::array<Utils::EnumName<LocalResponseReason>, 22> localResponseReasonNames { {
     { LocalResponseReason::NoConfiguration, "no_configuration" },
     { LocalResponseReason::StaleConfiguration, "stale_configuration" },
     { LocalResponseReason::NoRoute, "no_route" },
@@ -55,6 +59,8 @@
     { LocalResponseReason::BodyTooLarge, "body_too_large" },
     { LocalResponseReason::MemoryLimitReached, "memory_full" },
     { LocalResponseReason::NoUpstream, "no_upstream" },
+    { LocalResponseReason::NoUpstreamInHomes, "no_upstream_in_homes" },
+    { LocalResponseReason::ZonesEvacuated, "zones_evacuated" },
     { LocalResponseReason::Unreachable, "upstreams_unreachable" },
     { LocalResponseReason::KeyWithoutHolder, "key_without_holder" },
     { LocalResponseReason::Overload, "overload" },
