--- a/src/libs/balancing/concurrencylimit.cpp
+++ b/src/libs/balancing/concurrencylimit.cpp
@@ -20,11 +20,9 @@
 /// An unused limit would let a burst pass before the first reports of a queue.
 constexpr double maxUnusedFactor = 2;
 
-double minLimit(const ConcurrencyLimit& limit)
-{
-    constexpr double minShare = 0.5;
-    return std::max(1.0, limit.evenShare * minShare);
-}
+/// Even shares of all VMs fill the slots without a queue; below them slots would stay free, as most reports
+/// come from upstreams that are busier than others.
+double minLimit(const ConcurrencyLimit& limit) { return std::max(1.0, limit.evenShare); }
 
 void shrink(ConcurrencyLimit& limit, double factor)
 {
--- a/src/libs/balancing/workqueue.cpp
+++ b/src/libs/balancing/workqueue.cpp
@@ -71,9 +71,10 @@
 {
     const Utils::Duration latency = probableLatency(queue, request);
     const Utils::Instant end = now + wait + latency;
+    const Utils::Instant meanEnd = now + wait + scaleDuration(request.expectedLatency, queue.latencyFactor);
     QueueRejection rejection { request.id, QueueRejectionReason::MissesDeadline, {} };
     rejection.retryAfter = returnDelay(request, wait, now);
-    if (end > request.deadlineAt || wait > maxWait)
+    if (meanEnd > request.deadlineAt || wait > maxWait)
         return rejection;
     if (end <= request.targetAt || request.isCallerRetry)
         return std::nullopt;
