--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -20,6 +20,7 @@
 #include <edge/requestlog.h>
 #include <edge/upstreamplacement.h>
 #include <edge/upstreams.h>
+#include <edge/waitingrequests.h>
 #include <platform/headers.h>
 #include <utils/hash.h>
 
@@ -58,6 +59,7 @@
     cancelTimer(exchange->deadlineTimer);
     cancelTimer(exchange->holderWaitTimer);
     cancelTimer(exchange->forwardTimer);
+    leaveQueue(node, *exchange);
     node.traffic.exchanges.erase(exchange->id);
     releaseRequestBody(node, *exchange);
 }
@@ -93,8 +95,10 @@
 void armDeadline(Node& node, const ExchangePtr& exchange)
 {
     startTimer(exchange->deadlineTimer, exchange->deadlineAt - now(), [&node, exchange] {
-        if (isActive(node, *exchange))
-            respondLocally(node, exchange, LocalResponseReason::DeadlineExceeded, {});
+        if (!isActive(node, *exchange))
+            return;
+        recordMissingResponse(node, *exchange);
+        respondLocally(node, exchange, LocalResponseReason::DeadlineExceeded, {});
     });
 }
 
@@ -221,6 +225,8 @@
         respondLocally(node, exchange, LocalResponseReason::LimitReached, *limitDelay);
         return;
     }
+    if (!candidates.empty() && !takePlace(node, exchange, candidates, at))
+        return;
     if (!exchange->service->keyed)
         Balancing::keepPreferred(candidates, node.traffic.serviceStats[exchange->service->id],
             Utils::stableHash(node.settings.name.value), at);
@@ -230,7 +236,9 @@
         respondLocally(node, exchange, missingUpstreamReason(node, *exchange, at), defaultRetryAfter);
         return;
     }
-    if (exchange->attemptCount == 0) {
+    // The room of a key's holder depends on other VMs most: it is judged by what the holder reports, too.
+    const bool isAdmitted = !exchange->service->keyed && isQueueInUse(node, *exchange);
+    if (exchange->attemptCount == 0 && !isAdmitted) {
         const Balancing::AdmissionDecision decision
             = decideAdmission(node, *exchange, *placement, candidates[placement->index].slots, at);
         if (!decision.admitted) {
@@ -372,6 +380,7 @@
         return;
     const Internal::ExchangePtr exchange = found->second;
     exchange->connectionId = 0;
+    releasePlace(node, *exchange);
     exchange->mayHaveRun = exchange->mayHaveRun || !Balancing::hasNotRun(outcome);
     exchange->unconnectedAttemptCount += outcome == Balancing::AttemptOutcome::NotConnected ? 1 : 0;
     node.counters.attempts.add(outcome);
@@ -481,6 +490,7 @@
 
 void resumeWaitingExchanges(Node& node)
 {
+    startWaitingRequests(node);
     const Utils::Instant at = now();
     std::vector<Internal::ExchangePtr> waiting;
     for (auto it = node.traffic.exchanges.begin(); it != node.traffic.exchanges.end(); ++it) {
