Ask holders that reject with room left again; report load reports that can't be read

Cause: the holder of a key that had rejected a request was never asked again, although its report showed room; and a load report that can't be read looked like none. balancing/holderretry decides from the report of the rejection, the time left and the budget. The load model divides latencies by the work factor that came with them, also in the means of routes and services.

--- a/src/libs/balancing/loadmodel.cpp
+++ b/src/libs/balancing/loadmodel.cpp
@@ -11,6 +11,9 @@
 /// free, because the reported load is out of date.
 constexpr double staleLoadWaitFraction = 0.3;
 
+/// A report of this age shows the requests that wait.
+constexpr Utils::Duration maxFreshReportAge = std::chrono::milliseconds(50);
+
 /// Bounds of one sample of the slowdown factor, and so of its mean. The latency of single requests varies far
 /// more than the speed of upstreams.
 constexpr double minSlowdownFactor = 0.4;
@@ -30,9 +33,20 @@
     const double total = static_cast<double>(reported.running) + reported.waiting;
     load.otherVmRequests = std::max(0.0, total - load.outstanding);
     load.loadReportedAt = now;
+    load.workFactor = reported.workFactor.value_or(1);
+    stats.reportsWorkFactor = stats.reportsWorkFactor || reported.workFactor.has_value();
     stats.meanOtherVmRequests += (load.otherVmRequests - stats.meanOtherVmRequests) * sampleWeight / 2;
 }
 
+/// The work factor that the upstream has reported, closer to 1 the older the report is.
+double estimateWorkFactor(const UpstreamLoad& load, Utils::Instant now)
+{
+    if (load.workFactor == 1)
+        return 1;
+    const double halfLives = std::chrono::duration<double>(now - load.loadReportedAt) / workFactorHalfLife;
+    return 1 + (load.workFactor - 1) * std::exp2(-halfLives);
+}
+
 void eject(UpstreamLoad& load, Utils::Instant now)
 {
     const unsigned doublings = std::min(load.consecutiveFailures - failuresToEject, 3U);
@@ -70,8 +84,11 @@
     const bool wasQueued = sample.reportedLoad && sample.reportedLoad->waiting > 0;
     if (wasQueued || !sample.baselineLatency || *sample.baselineLatency <= Utils::Duration::zero())
         return;
-    const double ratio = std::clamp(std::chrono::duration<double>(sample.latency) / *sample.baselineLatency,
-        Internal::minSlowdownFactor, Internal::maxSlowdownFactor);
+    // What the machine does for others at the moment says nothing about the upstream either.
+    const double workFactor = sample.reportedLoad ? sample.reportedLoad->workFactor.value_or(1) : 1;
+    const double ratio
+        = std::clamp(std::chrono::duration<double>(sample.latency) / *sample.baselineLatency / workFactor,
+            Internal::minSlowdownFactor, Internal::maxSlowdownFactor);
     load.slowdownFactor += (ratio - load.slowdownFactor) * sampleWeight;
 }
 
@@ -85,6 +102,12 @@
     load.ejectedUntil = std::max(load.ejectedUntil, now + stats.serviceTime / 2);
 }
 
+void recordProbedLoad(
+    UpstreamLoad& load, ServiceStats& stats, const Routing::ReportedLoad& reported, Utils::Instant now)
+{
+    Internal::recordReportedLoad(load, stats, reported, now);
+}
+
 void recordFailure(UpstreamLoad& load, Utils::Instant now)
 {
     const Utils::Instant previousResponseAt = load.lastResponseAt;
@@ -114,11 +137,14 @@
 Utils::Duration estimateLatency(const UpstreamLoad& load, const ServiceStats& stats,
     Utils::Duration baselineLatency, unsigned slots, double coldStartFactor, Utils::Instant now)
 {
-    const double factor = load.slowdownFactor * coldStartFactor;
+    const double factor = load.slowdownFactor * coldStartFactor * Internal::estimateWorkFactor(load, now);
     const double requests = estimateLoad(load, stats, now);
     const double queuedRequests = std::max(0.0, requests - slots + 1);
-    const double hiddenRequests
-        = Internal::staleLoadWaitFraction * std::min(requests, static_cast<double>(slots));
+    const bool isReportFresh = load.loadReportedAt != Utils::Instant {}
+        && now - load.loadReportedAt <= Internal::maxFreshReportAge;
+    const double hiddenRequests = isReportFresh
+        ? 0
+        : Internal::staleLoadWaitFraction * std::min(requests, static_cast<double>(slots));
     const double waitingTime
         = static_cast<double>(stats.serviceTime.count()) * (queuedRequests + hiddenRequests) / slots;
     return Utils::Duration(
--- a/src/libs/balancing/loadmodel.h
+++ b/src/libs/balancing/loadmodel.h
@@ -13,6 +13,8 @@
 /// Time after which the weight of a reported load has halved. Requests take about as long, so most of those
 /// that were reported have completed by then.
 inline constexpr Utils::Duration reportedLoadHalfLife = std::chrono::milliseconds(400);
+/// The same for the reported work factor, which changes several times a second.
+inline constexpr Utils::Duration workFactorHalfLife = std::chrono::milliseconds(200);
 /// Weight of a new sample in the exponential moving averages.
 inline constexpr double sampleWeight = 0.2;
 /// Number of consecutive failures after which an upstream is ejected.
@@ -36,6 +38,10 @@
 void recordRejection(UpstreamLoad& load, ServiceStats& stats,
     const std::optional<Routing::ReportedLoad>& reported, Utils::Instant now);
 
+/// Records the load that the upstream has reported without a request.
+void recordProbedLoad(
+    UpstreamLoad& load, ServiceStats& stats, const Routing::ReportedLoad& reported, Utils::Instant now);
+
 /// Records a lost connection or a timeout.
 void recordFailure(UpstreamLoad& load, Utils::Instant now);
 
--- a/src/libs/balancing/servicestats.h
+++ b/src/libs/balancing/servicestats.h
@@ -12,6 +12,8 @@
     Utils::Duration serviceTime = std::chrono::milliseconds(200);
     /// Mean number of requests of other VMs at one upstream of the service.
     double meanOtherVmRequests = 0;
+    /// Upstreams of the service have stated how long work takes on their machine.
+    bool reportsWorkFactor = false;
     /// When a request of a priority was last rejected for lack of room; 0 is the most urgent priority.
     std::map<unsigned, Utils::Instant> rejectedAt;
 };
--- a/src/libs/balancing/upstreamload.h
+++ b/src/libs/balancing/upstreamload.h
@@ -14,6 +14,8 @@
     /// Requests of other VMs at the upstream, according to its last reported load.
     double otherVmRequests = 0;
     Utils::Instant loadReportedAt {};
+    /// How much longer work took there than usual at that time, as a factor.
+    double workFactor = 1;
     /// Latency relative to the average upstream of the service; above 1 if this one is slower.
     double slowdownFactor = 1;
     /// Failures since the last successful response.
--- a/src/libs/balancing/yielding.cpp
+++ b/src/libs/balancing/yielding.cpp
@@ -19,16 +19,20 @@
     stats.rejectedAt[priority] = now;
 }
 
-bool mustYield(const ServiceStats& stats, unsigned priority, double load, unsigned slots, Utils::Instant now)
+bool isUrgentWorkRejected(const ServiceStats& stats, unsigned priority, Utils::Instant now)
 {
     const auto end = stats.rejectedAt.lower_bound(priority);
-    const bool isUrgentWorkRejected = std::any_of(
+    return std::any_of(
         stats.rejectedAt.begin(), end, [now](const std::pair<const unsigned, Utils::Instant>& rejected) {
             return now - rejected.second < Internal::yieldPeriod;
         });
+}
+
+bool mustYield(const ServiceStats& stats, unsigned priority, double load, unsigned slots, Utils::Instant now)
+{
     // With the request itself and the slot kept free.
     const double maxLoad = slots > 2 ? slots - 2 : 0;
-    return isUrgentWorkRejected && load > maxLoad + Internal::loadTolerance;
+    return isUrgentWorkRejected(stats, priority, now) && load > maxLoad + Internal::loadTolerance;
 }
 
 } // namespace Balancing
--- a/src/libs/balancing/yielding.h
+++ b/src/libs/balancing/yielding.h
@@ -8,6 +8,9 @@
 /// it.
 void recordRejectedForLoad(ServiceStats& stats, unsigned priority, Utils::Instant now);
 
+/// Whether requests more urgent than \a priority have been rejected lately for lack of room.
+bool isUrgentWorkRejected(const ServiceStats& stats, unsigned priority, Utils::Instant now);
+
 /// Whether a request of \a priority has to leave the last free slot of an upstream to more urgent ones.
 ///
 /// Load pattern: a burst of long requests with a distant target fills all slots of a service, and a queue
--- a/src/libs/edge/counters.h
+++ b/src/libs/edge/counters.h
@@ -30,6 +30,10 @@
     std::uint64_t failedHandlers = 0;
     /// Responses of upstreams without a signature that do not say that the request has not run.
     std::uint64_t unsignedResponses = 0;
+    /// Figures that upstreams state of themselves in responses and that can't be read.
+    std::uint64_t unreadableSelfReports = 0;
+    /// Retries at the holder of a key that rejected the request although it has room.
+    std::uint64_t holderRetries = 0;
     std::uint64_t storeReturns = 0;
     std::uint64_t topicRestarts = 0;
 };
--- a/src/libs/edge/exchange.h
+++ b/src/libs/edge/exchange.h
@@ -5,6 +5,7 @@
 #include <edge/localresponse.h>
 #include <platform/callerheaders.h>
 #include <platform/storecalls.h>
+#include <routing/reportedload.h>
 #include <routing/routetable.h>
 #include <utils/time.h>
 
@@ -56,6 +57,8 @@
     Utils::UpstreamId lastUpstream;
     /// When the last attempt was started.
     Utils::Instant attemptStartedAt {};
+    /// The load that came with the response to the last attempt.
+    std::optional<Routing::ReportedLoad> lastReportedLoad;
     /// When the store or another upstream showed that the upstream of the current attempt has ended, unless
     /// the attempt has been counted as its crash.
     std::optional<Utils::Instant> upstreamVanishedAt;
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -1,6 +1,7 @@
 #include <balancing/admission.h>
 #include <balancing/chooseupstream.h>
 #include <balancing/decidenext.h>
+#include <balancing/holderretry.h>
 #include <balancing/loadmodel.h>
 #include <balancing/yielding.h>
 #include <edge/bodyintake.h>
@@ -257,6 +258,7 @@
     exchange->lastUpstream = upstream;
     exchange->attemptStartedAt = at;
     exchange->upstreamVanishedAt.reset();
+    exchange->lastReportedLoad.reset();
     logRequestSent(node, *exchange, upstream, placement->expectedLatency);
     startAttempt(node, exchange, entry.record,
         attemptTimeoutFor(*exchange, candidates.size(), placement->expectedLatency, timeLeft));
@@ -306,14 +308,32 @@
         recordUpstreamResponse(node, exchange);
 }
 
+/// Whether the holder of the key, which has just rejected the request, has room for it.
+bool isHolderWorthAsking(Node& node, const Exchange& exchange, Utils::Instant at)
+{
+    const Balancing::ServiceStats& stats = node.traffic.serviceStats[exchange.service->id];
+    Balancing::RetryAllowance half = retryAllowanceFor(node);
+    half.ratio /= 2;
+    half.slack /= 2;
+    Balancing::HolderRejection rejection;
+    rejection.reportedLoad = exchange.lastReportedLoad;
+    rejection.serviceTime = stats.serviceTime;
+    rejection.unloadedLatency = baselineLatencyFor(node, exchange);
+    rejection.timeLeft = (exchange.targetAt > at ? exchange.targetAt : exchange.deadlineAt) - at;
+    rejection.hasMoreUrgentRejections = Balancing::isUrgentWorkRejected(stats, exchange.route->priority, at);
+    rejection.hasAmpleBudget
+        = Balancing::hasRetryAllowance(node.traffic.retryBudgets[exchange.service->id], half, at);
+    return Balancing::isHolderRetryWorthwhile(rejection);
+}
+
 /// Whether there is an upstream for a retry. For a keyed service this is the holder, which may hold the key
 /// again by then or have been replaced.
 bool hasRetryTarget(Node& node, const Exchange& exchange, AttemptOutcome outcome)
 {
     const Utils::Instant at = now();
     if (exchange.service->keyed)
-        return outcome != AttemptOutcome::Rejected && hasSendNow(node, exchange.lastUpstream, at)
-            && pauseEnd(node, exchange.lastUpstream) <= at;
+        return (outcome != AttemptOutcome::Rejected || isHolderWorthAsking(node, exchange, at))
+            && hasSendNow(node, exchange.lastUpstream, at) && pauseEnd(node, exchange.lastUpstream) <= at;
     std::vector<Balancing::Candidate> candidates = findCandidates(node, exchange, at);
     removePaused(node, exchange, candidates, at);
     removeLimited(node, exchange, candidates, at);
@@ -346,6 +366,8 @@
     if (!Balancing::tryConsumeRetry(budget, retryAllowanceFor(node), now()))
         return Balancing::chooseFinalStep(context);
     ++node.counters.retries;
+    if (exchange.service->keyed && outcome == AttemptOutcome::Rejected)
+        ++node.counters.holderRetries;
     return step;
 }
 
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -102,6 +102,12 @@
         "Handlers that ended with an exception", static_cast<double>(counters.failedHandlers));
     Internal::writeSingleSample(text, "crocus_unsigned_responses_total", "counter",
         "Responses without an upstream's signature", static_cast<double>(counters.unsignedResponses));
+    Internal::writeSingleSample(text, "crocus_unreadable_self_reports_total", "counter",
+        "Reports of upstreams on themselves that could not be read",
+        static_cast<double>(counters.unreadableSelfReports));
+    Internal::writeSingleSample(text, "crocus_holder_retries_total", "counter",
+        "Retries at the holder of a key that rejected a request with room left",
+        static_cast<double>(counters.holderRetries));
     Internal::writeSingleSample(text, "crocus_store_returns_total", "counter",
         "Returns of the store from an older copy", static_cast<double>(counters.storeReturns));
     Internal::writeSingleSample(text, "crocus_topic_restarts_total", "counter",
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -9,6 +9,7 @@
 #include <edge/payload.h>
 #include <edge/requestlog.h>
 #include <edge/responsememory.h>
+#include <edge/selfreports.h>
 #include <edge/upstreamreach.h>
 #include <edge/upstreams.h>
 #include <logging/log.h>
@@ -138,7 +139,8 @@
     if (!route || outcome != AttemptOutcome::Responded
         || (serverHeaders.load && serverHeaders.load->waiting > 0))
         return;
-    const double slowdownFactor = node.traffic.upstreamStates[connection.upstream].load.slowdownFactor;
+    const double slowdownFactor = node.traffic.upstreamStates[connection.upstream].load.slowdownFactor
+        * (serverHeaders.load ? serverHeaders.load->workFactor.value_or(1) : 1);
     const Utils::Duration latency(
         static_cast<std::int64_t>(static_cast<double>((at - connection.sentAt).count()) / slowdownFactor));
     route->meanLatency = route->meanLatency ? Balancing::updatedMean(*route->meanLatency, latency) : latency;
@@ -257,10 +259,13 @@
         ++node.counters.unsignedResponses;
         logUnsignedResponse(*exchange->second, connection->upstream, response.result_int());
     }
+    if (exchange != node.traffic.exchanges.end())
+        exchange->second->lastReportedLoad = serverHeaders.load;
     recordAttemptOutcome(node, *connection, outcome, serverHeaders);
     if (!isForOtherRequest && !isFromOtherUpstream(serverHeaders, connection->upstream)) {
         recordUpstreamLife(node, connection->upstream, connection->connectedAt, connection->sentAt);
         recordNamedLimit(node, connection->upstream, serverHeaders);
+        recordUnreadableReports(node, connection->upstream, serverHeaders);
         recordStatements(node, *connection, serverHeaders);
     }
     keepOrCloseConnection(node, connection, canKeepAlive && allowsReuse(outcome, serverHeaders),
--- a/src/libs/edge/upstreamstate.h
+++ b/src/libs/edge/upstreamstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <balancing/upstreamload.h>
+#include <edge/unreadablereports.h>
 
 #include <cstdint>
 #include <vector>
@@ -13,6 +14,8 @@
     /// The process of the upstream with this start time has asked for no requests until then.
     Utils::Instant pausedUntil {};
     std::uint64_t pausedStartTimeMs = 0;
+    UnreadableReports unreadableLoads;
+    UnreadableReports unreadableColdTimes;
     /// Ids of the idle connections, most recently used last.
     std::vector<std::uint64_t> idleConnectionIds;
 };
--- a/src/libs/platform/headernames.h
+++ b/src/libs/platform/headernames.h
@@ -16,6 +16,7 @@
 inline constexpr std::string_view handoverHeader = "X-Handover";
 inline constexpr std::string_view storeEraHeader = "Store-Era";
 inline constexpr std::string_view requestLimitHeader = "Server-Limit";
+inline constexpr std::string_view coldTimeHeader = "X-Cold-Ms";
 inline constexpr std::string_view leavingHeader = "Server-Leaving";
 inline constexpr std::string_view retryAfterHeader = "Retry-After";
 inline constexpr std::string_view keepAliveHeader = "Keep-Alive";
--- a/src/libs/platform/headers.cpp
+++ b/src/libs/platform/headers.cpp
@@ -36,33 +36,69 @@
 /// The load of an upstream whose work takes as long as usual.
 constexpr double percentOfUsual = 100;
 
+bool hasField(const HttpFields& fields, std::string_view name)
+{
+    return fields.find(boost::string_view(name.data(), name.size())) != fields.end();
+}
+
+std::vector<std::string_view> splitByComma(std::string_view text)
+{
+    std::vector<std::string_view> parts;
+    for (std::size_t comma = text.find(','); comma != std::string_view::npos; comma = text.find(',')) {
+        parts.push_back(text.substr(0, comma));
+        text.remove_prefix(comma + 1);
+    }
+    parts.push_back(text);
+    return parts;
+}
+
 /// Parses "running,waiting,slots", to which upstreams that share their machines add how long work takes.
-std::optional<Routing::ReportedLoad> parseLoad(std::string_view text)
+void parseLoad(const HttpFields& fields, ServerHeaders& serverHeaders)
 {
-    const std::size_t first = text.find(',');
-    const std::size_t second = first == std::string_view::npos ? first : text.find(',', first + 1);
-    if (second == std::string_view::npos)
-        return std::nullopt;
-    const std::optional<unsigned> running = parseNumber<unsigned>(text.substr(0, first));
-    const std::optional<unsigned> waiting = parseNumber<unsigned>(text.substr(first + 1, second - first - 1));
-    const std::size_t third = text.find(',', second + 1);
-    const std::optional<unsigned> slots = parseNumber<unsigned>(
-        text.substr(second + 1, third == std::string_view::npos ? third : third - second - 1));
-    if (!running || !waiting || !slots)
-        return std::nullopt;
-    Routing::ReportedLoad load { *running, *waiting, *slots };
-    if (third == std::string_view::npos)
-        return load;
-    const std::optional<double> percent = parseNumber<double>(text.substr(third + 1));
-    if (!percent || !std::isfinite(*percent) || *percent <= 0)
-        return std::nullopt;
-    load.workFactor = *percent / percentOfUsual;
-    return load;
+    constexpr std::size_t countFigures = 3;
+    if (!hasField(fields, loadHeader))
+        return;
+    const std::vector<std::string_view> figures = splitByComma(fieldValue(fields, loadHeader));
+    if (figures.size() < countFigures || figures.size() > countFigures + 1) {
+        serverHeaders.loadError = DecodeError::Unreadable;
+        return;
+    }
+    const std::optional<unsigned> running = parseNumber<unsigned>(figures[0]);
+    const std::optional<unsigned> waiting = parseNumber<unsigned>(figures[1]);
+    const std::optional<unsigned> slots = parseNumber<unsigned>(figures[2]);
+    const bool hasPercent = figures.size() > countFigures;
+    const std::optional<double> percent
+        = hasPercent ? parseNumber<double>(figures[countFigures]) : percentOfUsual;
+    if (!running || !waiting || !slots || !percent) {
+        serverHeaders.loadError = DecodeError::Unreadable;
+        return;
+    }
+    if (!std::isfinite(*percent) || *percent <= 0) {
+        serverHeaders.loadError = DecodeError::OutOfRange;
+        return;
+    }
+    serverHeaders.load = Routing::ReportedLoad { *running, *waiting, *slots };
+    if (hasPercent)
+        serverHeaders.load->workFactor = *percent / percentOfUsual;
+}
+
+void parseColdTime(const HttpFields& fields, ServerHeaders& serverHeaders)
+{
+    constexpr double maxMilliseconds = 3.6e6;
+    if (!hasField(fields, coldTimeHeader))
+        return;
+    const std::optional<double> milliseconds = parseNumber<double>(fieldValue(fields, coldTimeHeader));
+    if (!milliseconds)
+        serverHeaders.coldTimeError = DecodeError::Unreadable;
+    else if (!std::isfinite(*milliseconds) || *milliseconds < 0 || *milliseconds > maxMilliseconds)
+        serverHeaders.coldTimeError = DecodeError::OutOfRange;
+    else
+        serverHeaders.remainingColdTime = Utils::Duration(static_cast<std::int64_t>(*milliseconds * 1000));
 }
 
 void parseRequestLimit(const HttpFields& fields, ServerHeaders& serverHeaders)
 {
-    if (fields.find(boost::string_view(requestLimitHeader.data(), requestLimitHeader.size())) == fields.end())
+    if (!hasField(fields, requestLimitHeader))
         return;
     const std::string_view text = fieldValue(fields, requestLimitHeader);
     const std::optional<double> limit = parseNumber<double>(text);
@@ -132,10 +168,10 @@
     ServerHeaders serverHeaders;
     serverHeaders.requestId = { std::string(Internal::fieldValue(fields, Internal::requestIdHeader)) };
     serverHeaders.server = { std::string(Internal::fieldValue(fields, Internal::serverIdHeader)) };
-    serverHeaders.notRun = status == Internal::statusMisdirected
-        || fields.find(boost::string_view(Internal::notRunHeader.data(), Internal::notRunHeader.size()))
-            != fields.end();
-    serverHeaders.load = Internal::parseLoad(Internal::fieldValue(fields, Internal::loadHeader));
+    serverHeaders.notRun
+        = status == Internal::statusMisdirected || Internal::hasField(fields, Internal::notRunHeader);
+    Internal::parseLoad(fields, serverHeaders);
+    Internal::parseColdTime(fields, serverHeaders);
     serverHeaders.keepAliveTimeout
         = Internal::parseKeepAliveTimeout(Internal::fieldValue(fields, Internal::keepAliveHeader));
     Internal::parseRequestLimit(fields, serverHeaders);
--- a/src/libs/platform/serverheaders.h
+++ b/src/libs/platform/serverheaders.h
@@ -20,6 +20,12 @@
     /// Request).
     bool notRun = false;
     std::optional<Routing::ReportedLoad> load;
+    /// Why the load in the response could not be used.
+    std::optional<DecodeError> loadError;
+    /// For how long the server remains cold.
+    std::optional<Utils::Duration> remainingColdTime;
+    /// Why that time could not be used.
+    std::optional<DecodeError> coldTimeError;
     /// Requests per second that the server takes from all VMs together; it may be zero. Sent in every
     /// response for as long as it applies.
     std::optional<double> requestLimit;
--- a/tests/auto/balancing/tst_loadmodel.cpp
+++ b/tests/auto/balancing/tst_loadmodel.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <vector>
+
 using namespace Balancing;
 using namespace std::chrono_literals;
 
@@ -115,3 +118,123 @@
     }
     CHECK(last > 600ms);
 }
+
+TEST_CASE("The work factor of a report raises the expected latency and fades", "[loadmodel]")
+{
+    struct Row {
+        const char* name;
+        std::optional<double> workFactor;
+        Utils::Duration age;
+        double minFactor;
+        double maxFactor;
+    };
+    const Row row = GENERATE(values<Row>({
+        { "not stated", std::nullopt, 0ms, 1, 1 },
+        { "as usual", 1.0, 0ms, 1, 1 },
+        { "three times slower", 3.0, 0ms, 2.99, 3.01 },
+        { "after a half-life", 3.0, workFactorHalfLife, 1.99, 2.01 },
+        { "after the next change", 3.0, 800ms, 1, 1.2 },
+        { "faster", 0.5, 0ms, 0.49, 0.51 },
+        { "long ago", 3.0, 60s, 1, 1.01 },
+    }));
+    INFO(row.name);
+    ServiceStats stats;
+    UpstreamLoad load;
+    UpstreamLoad plain;
+    const Routing::ReportedLoad reported { 0, 0, 4 };
+    Routing::ReportedLoad withFactor = reported;
+    withFactor.workFactor = row.workFactor;
+    recordProbedLoad(load, stats, withFactor, start);
+    recordProbedLoad(plain, stats, reported, start);
+    const Utils::Instant at = start + row.age;
+    const double ratio = std::chrono::duration<double>(estimateLatency(load, stats, 160ms, 4, 1, at))
+        / estimateLatency(plain, stats, 160ms, 4, 1, at);
+    CHECK(ratio >= Approx(row.minFactor).margin(1e-4));
+    CHECK(ratio <= Approx(row.maxFactor).margin(1e-4));
+}
+
+TEST_CASE("A latency that the work factor explains leaves the slowdown factor as it is", "[loadmodel]")
+{
+    UpstreamLoad load;
+    ServiceStats stats;
+    for (int request = 0; request < 30; ++request) {
+        const double factor = request % 5 == 0 ? 3 : 1;
+        ResponseSample sample = makeSample(
+            Utils::Duration(static_cast<std::int64_t>(Utils::Duration(160ms).count() * factor)), 160ms);
+        sample.reportedLoad = Routing::ReportedLoad { 2, 0, 4, factor };
+        recordRequestSent(load, start);
+        recordResponse(load, stats, sample, start);
+    }
+    CHECK(load.slowdownFactor == Approx(1).margin(0.01));
+}
+
+namespace {
+
+/// Upstreams of which a fifth is slow for some time, in turn.
+struct NoisyMachines {
+    static constexpr std::size_t count = 20;
+    static constexpr Utils::Duration changeInterval = 400ms;
+    static constexpr double slowFactor = 3;
+
+    static double factorOf(std::size_t upstream, Utils::Instant at)
+    {
+        const std::size_t period = static_cast<std::size_t>((at - start) / changeInterval);
+        return (upstream + period * 7) % 5 == 0 ? slowFactor : 1;
+    }
+};
+
+/// Mean work factor that requests meet which are sent to the upstream with the least expected latency.
+/// \param hasFactor whether the upstreams report it
+double meanFactorMet(bool hasFactor)
+{
+    constexpr unsigned requests = 4000;
+    constexpr Utils::Duration workTime = 100ms;
+    std::vector<UpstreamLoad> loads(NoisyMachines::count);
+    ServiceStats stats;
+    stats.serviceTime = workTime;
+    struct InFlight {
+        std::size_t upstream;
+        Utils::Instant sentAt;
+        double factor;
+    };
+    std::multimap<Utils::Instant, InFlight> inFlight;
+    double sum = 0;
+    for (unsigned request = 0; request < requests; ++request) {
+        const Utils::Instant at = start + request * 4ms;
+        while (!inFlight.empty() && inFlight.begin()->first <= at) {
+            const Utils::Instant doneAt = inFlight.begin()->first;
+            const InFlight done = inFlight.begin()->second;
+            inFlight.erase(inFlight.begin());
+            UpstreamLoad& load = loads[done.upstream];
+            ResponseSample sample = makeSample(doneAt - done.sentAt, workTime);
+            sample.reportedLoad = Routing::ReportedLoad { load.outstanding - 1, 0, 4 };
+            if (hasFactor)
+                sample.reportedLoad->workFactor = NoisyMachines::factorOf(done.upstream, doneAt);
+            recordResponse(load, stats, sample, doneAt);
+        }
+        std::size_t best = 0;
+        for (std::size_t upstream = 1; upstream < loads.size(); ++upstream) {
+            if (estimateLatency(loads[upstream], stats, workTime, 4, 1, at)
+                < estimateLatency(loads[best], stats, workTime, 4, 1, at))
+                best = upstream;
+        }
+        const double factor = NoisyMachines::factorOf(best, at);
+        sum += factor;
+        recordRequestSent(loads[best], at);
+        inFlight.emplace(at + std::chrono::duration_cast<Utils::Duration>(workTime * factor),
+            InFlight { best, at, factor });
+    }
+    return sum / requests;
+}
+
+} // namespace
+
+TEST_CASE("Requests avoid the fifth of the upstreams that is slow at the moment", "[loadmodel]")
+{
+    const double evenly = 1 + (NoisyMachines::slowFactor - 1) / 5;
+    const double informed = meanFactorMet(true);
+    const double uninformed = meanFactorMet(false);
+    INFO("evenly " << evenly << ", uninformed " << uninformed << ", informed " << informed);
+    CHECK(informed < uninformed);
+    CHECK(informed < evenly);
+}
