--- a/src/libs/balancing/loadmodel.cpp
+++ b/src/libs/balancing/loadmodel.cpp
@@ -27,8 +27,7 @@
 void recordWorkFactor(UpstreamLoad& load, double workFactor)
 {
     load.workFactor = workFactor;
-    const double usual = load.usualWorkFactor.value_or(workFactor);
-    load.usualWorkFactor = usual + (workFactor - usual) * sampleWeight;
+    load.usualWorkFactor += (workFactor - load.usualWorkFactor) * sampleWeight;
 }
 
 void recordReportedLoad(
@@ -45,10 +44,8 @@
 /// The work factor that the upstream has reported, closer to its usual one the older the report is.
 double estimateWorkFactor(const UpstreamLoad& load, Utils::Instant now)
 {
-    if (!load.usualWorkFactor)
-        return 1;
     const double halfLives = std::chrono::duration<double>(now - load.loadReportedAt) / workFactorHalfLife;
-    return *load.usualWorkFactor + (load.workFactor - *load.usualWorkFactor) * std::exp2(-halfLives);
+    return load.usualWorkFactor + (load.workFactor - load.usualWorkFactor) * std::exp2(-halfLives);
 }
 
 void eject(UpstreamLoad& load, Utils::Instant now)
