Stop requests to availability zones that the operator evacuates

Cause: the operator's evacuation records were ignored. If all zones are evacuated the keys stay and requests are rejected at once. Requests for keys whose service has no upstream in the homes no longer wait for a holder. With checkPlacement() allowing everything, all 4 cases of [homes] and 3 of 7 of [evacuations] fail; the other 4 test decoding and relaying.

--- a/src/libs/edge/candidates.cpp
+++ b/src/libs/edge/candidates.cpp
@@ -94,11 +94,9 @@
     if (!exchange.service->keyed)
         return false;
     const Granting::Segment* segment = Internal::findKeySegment(node, exchange);
-    if (!segment || !segment->isConfirmed)
-        return true;
     const Routing::DirectoryEntry* entry = findServingHolder(node, exchange, now);
-    if (!entry)
-        return true;
+    if (!segment || !segment->isConfirmed || !entry)
+        return !areAllUpstreamsExcluded(node, exchange);
     return checkHolder(node, exchange, entry->record, now) != Routing::PlacementVerdict::Allowed
         && isReplacedForPlacement(node, exchange, entry->record);
 }
--- a/src/libs/edge/clusterview.h
+++ b/src/libs/edge/clusterview.h
@@ -26,6 +26,8 @@
     std::unordered_map<Utils::ServiceId, std::vector<Utils::UpstreamId>> upstreamsByService;
     std::map<Utils::ServiceId, Granting::KeyAssignment> assignments;
     Routing::Evacuations evacuations;
+    /// When this VM itself last read all records of the operator.
+    Utils::Instant operatorRecordsReadAt {};
 };
 
 } // namespace Edge
--- a/src/libs/edge/clusterviewupdates.cpp
+++ b/src/libs/edge/clusterviewupdates.cpp
@@ -2,10 +2,12 @@
 #include <edge/crashreports.h>
 #include <edge/clock.h>
 #include <edge/configurationage.h>
+#include <edge/evacuationupdates.h>
 #include <edge/exchanges.h>
 #include <edge/leaderelection.h>
 #include <edge/leaving.h>
 #include <edge/limitkeeping.h>
+#include <edge/recorddecoding.h>
 #include <edge/relay.h>
 #include <edge/upstreams.h>
 #include <granting/assignmentdelta.h>
@@ -13,7 +15,7 @@
 #include <granting/recorderror.h>
 #include <logging/log.h>
 #include <platform/configurationdecoder.h>
-#include <platform/fieldname.h>
+#include <platform/evacuationrecord.h>
 #include <platform/upstreamdecoder.h>
 #include <routing/placementrules.h>
 
@@ -38,29 +40,6 @@
             { "error", Utils::enumName(Platform::decodeErrorNames, error) }, { "field", field } });
 }
 
-/// Decodes the value of \a record. On failure, logs and counts the error and returns nothing.
-template <typename Value, typename Decode>
-std::optional<Value> decodeOrSkip(Node& node, const Platform::StoreRecord& record, Decode decode)
-{
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<std::optional<Value>> {
-            BOOST_LEAF_AUTO(value, decode());
-            return std::optional<Value>(std::move(value));
-        },
-        [&](Platform::DecodeError error, const Platform::FieldName& field) -> std::optional<Value> {
-            recordDecodeError(node, record, error, field.name);
-            return std::nullopt;
-        },
-        [&](Platform::DecodeError error) -> std::optional<Value> {
-            recordDecodeError(node, record, error, "");
-            return std::nullopt;
-        },
-        [&]() -> std::optional<Value> {
-            recordDecodeError(node, record, Platform::DecodeError::Unreadable, "");
-            return std::nullopt;
-        });
-}
-
 /// Where this VM gets configurations from.
 std::string_view configurationSource(const Node& node)
 {
@@ -241,9 +220,13 @@
 
 } // namespace Internal
 
-void applyConfigurations(Node& node, const std::vector<Platform::StoreRecord>& records)
+void applyOperatorRecords(Node& node, const std::vector<Platform::StoreRecord>& records)
 {
     for (const Platform::StoreRecord& record : records) {
+        if (Platform::isEvacuationKey(record.key))
+            applyEvacuation(node, record);
+        else if (isEvacuationList(record))
+            applyEvacuationList(node, record);
         if (record.key != Platform::configurationKey || !record.value)
             continue;
         std::optional<Routing::Configuration> configuration = Internal::decodeOrSkip<Routing::Configuration>(
@@ -255,6 +238,13 @@
     flushRelay(node);
 }
 
+void applyOperatorSnapshot(Node& node, const std::vector<Platform::StoreRecord>& records, Utils::Offset end)
+{
+    applyOperatorRecords(node, records);
+    endMissingEvacuations(node, records, end);
+    node.clusterView.operatorRecordsReadAt = now();
+}
+
 void applyUpstreamReports(Node& node, const std::vector<Platform::StoreRecord>& records)
 {
     for (const Platform::StoreRecord& record : records)
--- a/src/libs/edge/clusterviewupdates.h
+++ b/src/libs/edge/clusterviewupdates.h
@@ -8,8 +8,12 @@
 /// Applies records of the store to the cluster view of this VM.
 namespace Edge {
 
-/// Applies configuration records of the operator; the highest version that was read is in force.
-void applyConfigurations(Node& node, const std::vector<Platform::StoreRecord>& records);
+/// Applies records of the operator: of configurations the highest version that was read is in force, of
+/// evacuations the last record of each zone.
+void applyOperatorRecords(Node& node, const std::vector<Platform::StoreRecord>& records);
+
+/// Applies a snapshot of the operator's topic, which ends the evacuations that it lacks.
+void applyOperatorSnapshot(Node& node, const std::vector<Platform::StoreRecord>& records, Utils::Offset end);
 
 /// Applies reports of upstreams.
 void applyUpstreamReports(Node& node, const std::vector<Platform::StoreRecord>& records);
--- a/src/libs/edge/firstupdates.cpp
+++ b/src/libs/edge/firstupdates.cpp
@@ -1,4 +1,5 @@
 #include <edge/clock.h>
+#include <edge/evacuationupdates.h>
 #include <edge/firstupdates.h>
 #include <edge/relaysource.h>
 #include <granting/recordcodec.h>
@@ -42,6 +43,11 @@
         if (isNeeded(it->second, update))
             records.push_back(it->second);
     }
+    // A VM that has read no record yet knows of no evacuation that may have ended.
+    std::optional<Relay::RelayRecord> evacuations
+        = update.configurations == 0 ? std::nullopt : makeEvacuationList(node);
+    if (evacuations)
+        records.push_back(std::move(*evacuations));
     const std::map<Utils::ServiceId, Granting::KeyAssignment>& assignments = node.clusterView.assignments;
     for (auto it = node.relay.assignmentOffsets.begin(); it != node.relay.assignmentOffsets.end(); ++it) {
         const auto assignment = assignments.find(it->first);
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -65,6 +65,9 @@
         static_cast<double>(node.leaving.upstreams.byId.size()));
     writeSingleSample(text, "crocus_paused_upstreams", "gauge", "Upstreams that have asked for a pause",
         static_cast<double>(countPausedUpstreams(node)));
+    writeSingleSample(text, "crocus_evacuated_zones", "gauge",
+        "Availability zones to which no requests are sent, by the operator's order",
+        static_cast<double>(Routing::countEvacuated(clusterView.evacuations)));
     writeSingleSample(
         text, "crocus_reach_lost", "gauge", "1 while this VM reaches no upstream", isReachLost(node) ? 1 : 0);
     writeSingleSample(
--- a/src/libs/edge/relaysource.cpp
+++ b/src/libs/edge/relaysource.cpp
@@ -17,6 +17,7 @@
 #include <granting/loadreportcodec.h>
 #include <granting/recordcodec.h>
 #include <logging/log.h>
+#include <platform/evacuationrecord.h>
 #include <relay/framecodec.h>
 #include <relay/relaytree.h>
 
@@ -55,6 +56,11 @@
     return node.relay.sourceIsFresh && now() - node.relay.sourceUpdatedAt < maxFreshUpdateAge;
 }
 
+bool isEvacuation(const Relay::RelayRecord& record)
+{
+    return record.topic == RelayTopic::Configurations && Platform::isEvacuationKey(record.key);
+}
+
 bool isLeader(const Node& node) { return Granting::holdsLeaderLease(node.leader.leadership, now()); }
 
 /// Whether this VM gets its records from another one.
@@ -298,8 +304,12 @@
         return;
     }
     // Of configurations in quick succession only the last one matters, and they may be large.
-    const bool isTooEarly
+    const bool isDeferralDue
         = !Internal::isReceiving(node) && at - node.relay.configurationRelayedAt < configurationRelayInterval;
+    // An evacuation is relayed at once, and earlier records of its topic first, as a subscriber that has it
+    // counts as having these.
+    const bool isTooEarly
+        = isDeferralDue && std::none_of(unsent.begin(), unsent.end(), Internal::isEvacuation);
     const auto isConfiguration
         = [](const Relay::RelayRecord& record) { return record.topic == Relay::RelayTopic::Configurations; };
     const auto firstDeferred = std::stable_partition(unsent.begin(), unsent.end(),
--- a/src/libs/edge/relaysubscriber.cpp
+++ b/src/libs/edge/relaysubscriber.cpp
@@ -56,9 +56,10 @@
 {
     switch (record.topic) {
     case RelayTopic::Configurations:
-        applyConfigurations(node, { toStoreRecord(record) });
+        applyOperatorRecords(node, { toStoreRecord(record) });
         advanceNextOffset(node.topicFollowers.configurations, record.offset);
-        node.topicFollowers.configurations.lastRecordBytes = record.value.value_or("").size();
+        if (record.key == Platform::configurationKey)
+            node.topicFollowers.configurations.lastRecordBytes = record.value.value_or("").size();
         break;
     case RelayTopic::Reports:
         if (record.value)
--- a/src/libs/edge/service.cpp
+++ b/src/libs/edge/service.cpp
@@ -80,9 +80,13 @@
     followers.configurations.longPollTimeout = configurationsLongPollTimeout;
     followers.configurations.newestOnly = true;
     followers.configurations.onRecords
-        = [&node](const std::vector<Platform::StoreRecord>& records) { applyConfigurations(node, records); };
-    followers.configurations.onSnapshot = [&node](const std::vector<Platform::StoreRecord>& records,
-                                              Utils::Offset) { applyConfigurations(node, records); };
+        = [&node](const std::vector<Platform::StoreRecord>& records) { applyOperatorRecords(node, records); };
+    followers.configurations.onSnapshot
+        = [&node](const std::vector<Platform::StoreRecord>& records, Utils::Offset end) {
+              applyOperatorSnapshot(node, records, end);
+          };
+    followers.configurations.onRead
+        = [&node](Utils::Offset) { node.clusterView.operatorRecordsReadAt = now(); };
     followers.reports.topic = Platform::serversTopic;
     followers.reports.longPollTimeout = reportsLongPollTimeout;
     followers.reports.readInterval = reportsReadInterval;
--- a/src/libs/edge/upstreamplacement.cpp
+++ b/src/libs/edge/upstreamplacement.cpp
@@ -78,13 +78,23 @@
            });
 }
 
+bool areAllUpstreamsExcluded(const Node& node, const Exchange& exchange)
+{
+    if (exchange.route->homeRegions.empty() && Routing::countEvacuated(node.clusterView.evacuations) == 0)
+        return false;
+    const std::vector<Internal::PlacementVerdict> verdicts = Internal::checkUsableUpstreams(node, exchange);
+    return !verdicts.empty() && !Internal::containsVerdict(verdicts, Routing::PlacementVerdict::Allowed);
+}
+
 LocalResponseReason missingUpstreamReason(const Node& node, const Exchange& exchange, Utils::Instant now)
 {
     std::vector<Internal::PlacementVerdict> verdicts;
-    if (!exchange.service->keyed)
-        verdicts = Internal::checkUsableUpstreams(node, exchange);
-    else if (const Routing::DirectoryEntry* const holder = findServingHolder(node, exchange, now))
+    const Routing::DirectoryEntry* const holder
+        = exchange.service->keyed ? findServingHolder(node, exchange, now) : nullptr;
+    if (holder)
         verdicts.push_back(checkHolder(node, exchange, holder->record, now));
+    else
+        verdicts = Internal::checkUsableUpstreams(node, exchange);
     if (Internal::containsVerdict(verdicts, Routing::PlacementVerdict::Allowed))
         return LocalResponseReason::NoUpstream;
     if (Internal::containsVerdict(verdicts, Routing::PlacementVerdict::Evacuated))
--- a/src/libs/edge/upstreamplacement.h
+++ b/src/libs/edge/upstreamplacement.h
@@ -26,6 +26,10 @@
 bool isReplacedForPlacement(
     const Node& node, const Exchange& exchange, const Routing::UpstreamRecord& record);
 
+/// Whether usable upstreams of the service of \a exchange are known, but homes or evacuations exclude them
+/// all.
+bool areAllUpstreamsExcluded(const Node& node, const Exchange& exchange);
+
 /// Why \a exchange is rejected as it has no candidates.
 LocalResponseReason missingUpstreamReason(const Node& node, const Exchange& exchange, Utils::Instant now);
 
--- a/src/libs/routing/evacuations.cpp
+++ b/src/libs/routing/evacuations.cpp
@@ -1,5 +1,8 @@
 #include <routing/evacuations.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace Routing {
 
 bool startEvacuation(
@@ -48,4 +51,10 @@
     return found != evacuations.byZone.end() && found->second.isInForce ? &found->second : nullptr;
 }
 
+std::size_t countEvacuated(const Evacuations& evacuations)
+{
+    return static_cast<std::size_t>(std::count_if(evacuations.byZone.begin(), evacuations.byZone.end(),
+        [](const std::pair<const Utils::ZoneId, Evacuation>& entry) { return entry.second.isInForce; }));
+}
+
 } // namespace Routing
--- a/src/libs/routing/evacuations.h
+++ b/src/libs/routing/evacuations.h
@@ -3,6 +3,7 @@
 #include <utils/ids.h>
 #include <utils/time.h>
 
+#include <cstddef>
 #include <map>
 #include <set>
 #include <vector>
@@ -42,4 +43,6 @@
 /// Returns the evacuation of \a zone; null if none is in force.
 const Evacuation* findEvacuation(const Evacuations& evacuations, const Utils::ZoneId& zone);
 
+std::size_t countEvacuated(const Evacuations& evacuations);
+
 } // namespace Routing
--- a/tests/auto/edge/testenvironment.cpp
+++ b/tests/auto/edge/testenvironment.cpp
@@ -99,6 +99,11 @@
     StandInStore::putRecord(environment.store, "keyed.servers", upstream.standIn.id, "");
 }
 
+void publishEvacuation(TestEnvironment& environment, const std::string& zone, bool isAsked)
+{
+    StandInStore::putRecord(environment.store, "keyed.op", "evacuate/" + zone, isAsked ? "{}" : "");
+}
+
 void publishConfiguration(TestEnvironment& environment, unsigned version, const std::string& extraRule)
 {
     const std::string extra
--- a/tests/auto/edge/testenvironment.h
+++ b/tests/auto/edge/testenvironment.h
@@ -90,6 +90,9 @@
 /// Removes the upstream's entry from the store.
 void removeUpstreamEntry(TestEnvironment& environment, const TestUpstream& upstream);
 
+/// Publishes or, without \a isAsked, removes the evacuation of the availability zone \a zone.
+void publishEvacuation(TestEnvironment& environment, const std::string& zone, bool isAsked);
+
 /// Publishes a configuration: /safe/ and /unsafe/ go to "plain", /key/ to "keyed".
 void publishConfiguration(TestEnvironment& environment, unsigned version, const std::string& extraRule = "");
 
