Keep a rate for cold upstreams and room for full ones over all VMs

Cause: nothing bounded the requests to a cold upstream (FAILBACK), and a request went to an upstream whose queue was full, also where these leave such requests without a response. The leader did not relay reports in which only the cold time had changed, so that only VMs that read the store knew of an upstream that had turned cold in service. The mechanism for limits has a bound with window, factor and excess now, and keeps both. balancing/fullqueue tells a request left by a full queue from a slow upstream and from a lost response. Ruled out: connections that time out as a sign of a new process (lossy links). In tst_coldupstreams the number of arrivals is checked for keys only: without keys the warm upstream serves all requests. Partial: takenBackAt has no source yet; no test of the placement of keys at cold upstreams.

--- a/src/libs/balancing/requestlimit.h
+++ b/src/libs/balancing/requestlimit.h
@@ -1,18 +1,21 @@
 #pragma once
 
+#include <balancing/requestbound.h>
 #include <utils/time.h>
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 /// Keeping a limit on the requests of all VMs together without messages between them.
 namespace Balancing {
 
-/// The limit that an upstream has named, and this VM's share of it.
+/// The requests that an upstream takes, and this VM's share of it.
 struct RequestLimit {
     /// Requests per second of all VMs together.
     double perSecond = 0;
+    RequestBound bound;
     /// Whether the upstream named the limit in its last response.
     bool isNamed = false;
     /// When that response arrived, at this VM or another one.
@@ -31,7 +34,15 @@
 };
 
 /// Number of VMs that may share a limit of \a perSecond so that all of them sending at once stay within it.
-std::size_t countShareholders(double perSecond, std::size_t vmCount);
+std::size_t countShareholders(double perSecond, const RequestBound& bound, std::size_t vmCount);
+
+/// Whether a VM is among the shareholders of all \a vmCount VMs. All VMs rank the members alike.
+/// \param own rank of the VM, a hash, and \a others those of the members that it knows
+bool isAmongShareholders(const RequestLimit& limit, std::uint64_t own,
+    const std::vector<std::uint64_t>& others, std::size_t vmCount);
+
+/// Part of the range of hashes, 0 to 1, that lies below \a hash.
+double hashFraction(std::uint64_t hash);
 
 /// Time between two requests of one shareholder.
 Utils::Duration shareInterval(const RequestLimit& limit);
@@ -52,6 +63,10 @@
 std::optional<Utils::Duration> reserveSend(
     RequestLimit& limit, unsigned priority, Utils::Duration maxWait, Utils::Instant now);
 
+/// Reserves a send within all of \a limits, which bind the same upstream; see above.
+std::optional<Utils::Duration> reserveSend(
+    const std::vector<RequestLimit*>& limits, unsigned priority, Utils::Duration maxWait, Utils::Instant now);
+
 /// Returns after what time a rejected request is worth sending again.
 Utils::Duration retryDelay(const RequestLimit& limit, Utils::Instant now);
 
--- a/src/libs/balancing/servicestats.h
+++ b/src/libs/balancing/servicestats.h
@@ -14,6 +14,10 @@
     double meanOtherVmRequests = 0;
     /// Upstreams of the service have stated how long work takes on their machine.
     bool reportsWorkFactor = false;
+    /// The longest queue that upstreams of the service have reported with a served request.
+    unsigned longestServedQueue = 0;
+    /// When an upstream last left a request without a response because its queue was full.
+    Utils::Instant leftUnansweredAt {};
     /// When a request of a priority was last rejected for lack of room; 0 is the most urgent priority.
     std::map<unsigned, Utils::Instant> rejectedAt;
 };
--- a/src/libs/balancing/upstreamload.h
+++ b/src/libs/balancing/upstreamload.h
@@ -24,6 +24,10 @@
     Utils::Instant ejectedUntil {};
     /// Moving average of the fraction of requests that failed, 0..1.
     double failureRate = 0;
+    /// When the latest of the requests was sent that the upstream has answered.
+    Utils::Instant lastAnsweredSentAt {};
+    /// Until this time its queue is believed full.
+    Utils::Instant fullUntil {};
     /// Time of the last response of any kind.
     Utils::Instant lastResponseAt {};
     /// Start of the current period without a response while requests are outstanding; empty if none are.
--- a/src/libs/edge/clusterviewupdates.cpp
+++ b/src/libs/edge/clusterviewupdates.cpp
@@ -186,6 +186,35 @@
     return startTimeMs <= static_cast<std::uint64_t>(latest.count());
 }
 
+/// Until when the upstream \a id remains cold by its last report.
+Utils::Instant reportedColdEnd(const Node& node, const Utils::UpstreamId& id)
+{
+    const auto found = node.clusterView.directory.entries.find(id);
+    return found == node.clusterView.directory.entries.end()
+        ? Utils::Instant {}
+        : found->second.reportedAt + found->second.record.remainingColdTime;
+}
+
+/// Whether the upstream \a id has become cold or warm in service since it was to be cold until \a formerEnd.
+/// Reports of a cold time that passes name the same end, but for the time for which they were on their way.
+bool hasColdTimeChanged(const Node& node, const Utils::UpstreamId& id, Utils::Instant formerEnd)
+{
+    constexpr Utils::Duration margin = std::chrono::milliseconds(300);
+    const Utils::Instant at = now();
+    const Utils::Instant end = std::max(reportedColdEnd(node, id), at);
+    const Utils::Instant former = std::max(formerEnd, at);
+    return std::max(end, former) - std::min(end, former) > margin;
+}
+
+void logColdTimeChanged(const Node& node, const Utils::UpstreamId& id, Utils::Offset offset)
+{
+    Logging::write(Logging::Level::Info, "cold_time_changed",
+        { { "upstream", id.value }, { "offset", offset },
+            { "left_ms",
+                std::max<std::int64_t>(Utils::toMilliseconds(reportedColdEnd(node, id) - now()), 0) },
+            { "delay_ms", sourceDelayMs(node) } });
+}
+
 void applyUpstreamReport(Node& node, const Platform::StoreRecord& record)
 {
     if (record.key.empty())
@@ -204,10 +233,17 @@
         recordDecodeError(node, record, Platform::DecodeError::OutOfRange, "born");
         return;
     }
+    const Utils::Instant formerColdEnd = reportedColdEnd(node, id);
     const Routing::DirectoryChange change
         = Routing::applyReport(node.clusterView.directory, *report, record.offset, now());
     handleDirectoryChange(node, id, change, record.offset);
-    if (change != Routing::DirectoryChange::None)
+    const bool isColdTimeChanged
+        = change == Routing::DirectoryChange::None && hasColdTimeChanged(node, id, formerColdEnd);
+    if (isColdTimeChanged) {
+        node.leader.plannedAt = {};
+        logColdTimeChanged(node, id, record.offset);
+    }
+    if (change != Routing::DirectoryChange::None || isColdTimeChanged)
         queueForRelay(node, { Relay::RelayTopic::Reports, record.key, record.value, record.offset });
 }
 
--- a/src/libs/edge/counters.h
+++ b/src/libs/edge/counters.h
@@ -34,6 +34,8 @@
     std::uint64_t unreadableSelfReports = 0;
     /// Retries at the holder of a key that rejected the request although it has room.
     std::uint64_t holderRetries = 0;
+    /// Requests that full upstreams have left without a response.
+    std::uint64_t leftUnanswered = 0;
     std::uint64_t storeReturns = 0;
     std::uint64_t topicRestarts = 0;
 };
--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -10,6 +10,7 @@
 #include <edge/clock.h>
 #include <edge/crashreports.h>
 #include <edge/forwardingheaders.h>
+#include <edge/fullupstreams.h>
 #include <edge/leaving.h>
 #include <edge/limitedsends.h>
 #include <edge/pauses.h>
@@ -220,6 +221,11 @@
         respondLocally(node, exchange, LocalResponseReason::LimitReached, *limitDelay);
         return;
     }
+    const std::optional<Utils::Duration> fullDelay = removeFull(node, *exchange, candidates, at);
+    if (candidates.empty() && fullDelay) {
+        respondLocally(node, exchange, LocalResponseReason::Overload, *fullDelay);
+        return;
+    }
     const std::optional<Balancing::Placement> placement
         = Balancing::chooseUpstream(candidates, makePlacementRequest(node, *exchange), at);
     if (!placement) {
@@ -337,6 +343,7 @@
     std::vector<Balancing::Candidate> candidates = findCandidates(node, exchange, at);
     removePaused(node, exchange, candidates, at);
     removeLimited(node, exchange, candidates, at);
+    removeFull(node, exchange, candidates, at);
     return !candidates.empty();
 }
 
--- a/src/libs/edge/keyplanning.cpp
+++ b/src/libs/edge/keyplanning.cpp
@@ -1,4 +1,5 @@
 #include <edge/assignmentrecords.h>
+#include <edge/coldupstreams.h>
 #include <edge/keyplanning.h>
 #include <edge/leadershiplog.h>
 #include <edge/leaving.h>
@@ -48,6 +49,8 @@
         double capacity = entry.record.slots / std::max(seconds, minServiceTimeSeconds);
         if (const Balancing::RequestLimit* const limit = findLimit(node, it->first))
             capacity = std::min(capacity, std::max(limit->perSecond * usedLimitShare, minLimitedCapacity));
+        if (const Balancing::RequestLimit* const budget = findColdBudget(node, it->first, at))
+            capacity = std::min(capacity, std::max(budget->perSecond * usedLimitShare, minLimitedCapacity));
         targets.push_back({ it->first, capacity });
     }
     std::sort(targets.begin(), targets.end(),
--- a/src/libs/edge/limitedsends.cpp
+++ b/src/libs/edge/limitedsends.cpp
@@ -1,3 +1,4 @@
+#include <edge/coldupstreams.h>
 #include <edge/limitedsends.h>
 #include <edge/limitkeeping.h>
 
@@ -16,29 +17,54 @@
     return latest - now - expected;
 }
 
+/// The limits that bind the requests to \a upstream: what it names, and what it takes while it is cold.
+std::vector<Balancing::RequestLimit*> findLimits(
+    Node& node, const Utils::UpstreamId& upstream, Utils::Instant now)
+{
+    std::vector<Balancing::RequestLimit*> limits;
+    if (Balancing::RequestLimit* const limit = findLimit(node, upstream))
+        limits.push_back(limit);
+    if (Balancing::RequestLimit* const budget = findColdBudget(node, upstream, now))
+        limits.push_back(budget);
+    return limits;
+}
+
+void countColdRefusal(Node& node, const Utils::UpstreamId& upstream, Utils::Instant now)
+{
+    const Balancing::RequestLimit* const budget = findColdBudget(node, upstream, now);
+    const bool isRefused = budget && Balancing::timeToNextSend(*budget, now) != Utils::Duration::zero();
+    node.requestLimits.coldRefusals += isRefused ? 1 : 0;
+}
+
 } // namespace Internal
 
 bool hasSendNow(Node& node, const Utils::UpstreamId& upstream, Utils::Instant now)
 {
-    const Balancing::RequestLimit* const limit = findLimit(node, upstream);
-    return !limit || Balancing::timeToNextSend(*limit, now) == Utils::Duration::zero();
+    const std::vector<Balancing::RequestLimit*> limits = Internal::findLimits(node, upstream, now);
+    return std::all_of(limits.begin(), limits.end(), [now](const Balancing::RequestLimit* limit) {
+        return Balancing::timeToNextSend(*limit, now) == Utils::Duration::zero();
+    });
 }
 
 Utils::Duration limitRetryDelay(Node& node, const Utils::UpstreamId& upstream, Utils::Instant now)
 {
-    const Balancing::RequestLimit* const limit = findLimit(node, upstream);
-    return limit ? Balancing::retryDelay(*limit, now) : Utils::Duration::zero();
+    Utils::Duration delay = Utils::Duration::zero();
+    for (const Balancing::RequestLimit* const limit : Internal::findLimits(node, upstream, now))
+        delay = std::max(delay, Balancing::retryDelay(*limit, now));
+    return delay;
 }
 
 std::optional<Utils::Duration> removeLimited(
     Node& node, const Exchange& exchange, std::vector<Balancing::Candidate>& candidates, Utils::Instant now)
 {
     std::optional<Utils::Duration> delay;
-    if (exchange.service->keyed || node.requestLimits.byUpstream.empty())
+    const bool hasLimits = !node.requestLimits.byUpstream.empty() || exchange.service->coldRequestsPerSecond;
+    if (exchange.service->keyed || !hasLimits)
         return delay;
     std::erase_if(candidates, [&](const Balancing::Candidate& candidate) {
         if (hasSendNow(node, candidate.id, now))
             return false;
+        Internal::countColdRefusal(node, candidate.id, now);
         const Utils::Duration retryDelay = limitRetryDelay(node, candidate.id, now);
         delay = delay ? std::min(*delay, retryDelay) : retryDelay;
         return true;
@@ -49,13 +75,15 @@
 std::optional<Utils::Duration> reserveLimitedSend(Node& node, Exchange& exchange,
     const Utils::UpstreamId& upstream, Utils::Duration expected, Utils::Instant now)
 {
-    Balancing::RequestLimit* const limit = findLimit(node, upstream);
-    if (!limit || std::exchange(exchange.reservedUpstream, {}) == upstream)
+    const std::vector<Balancing::RequestLimit*> limits = Internal::findLimits(node, upstream, now);
+    if (limits.empty() || std::exchange(exchange.reservedUpstream, {}) == upstream)
         return Utils::Duration::zero();
     const Utils::Duration maxWait
         = exchange.service->keyed ? Internal::maxWaitFor(exchange, expected, now) : Utils::Duration::zero();
     const std::optional<Utils::Duration> wait
-        = Balancing::reserveSend(*limit, exchange.route->priority, maxWait, now);
+        = Balancing::reserveSend(limits, exchange.route->priority, maxWait, now);
+    if (!wait)
+        Internal::countColdRefusal(node, upstream, now);
     if (wait && *wait > Utils::Duration::zero()) {
         exchange.reservedUpstream = upstream;
         ++node.requestLimits.delayedSends;
--- a/src/libs/edge/limitedsends.h
+++ b/src/libs/edge/limitedsends.h
@@ -7,11 +7,11 @@
 #include <optional>
 #include <vector>
 
-/// Holds requests back that an upstream's limit does not allow now; see Balancing::RequestLimit for the
-/// decisions.
+/// Holds requests back that an upstream's limit, or its budget while it is cold, does not allow now; see
+/// Balancing::RequestLimit for the decisions.
 namespace Edge {
 
-/// Whether the limit of \a upstream, if it names one, leaves this VM a send at \a now.
+/// Whether the limits of \a upstream, if there are any, leave this VM a send at \a now.
 bool hasSendNow(Node& node, const Utils::UpstreamId& upstream, Utils::Instant now);
 
 /// Returns after what time a request that \a upstream's limit turns away is worth sending again.
--- a/src/libs/edge/limitkeeping.cpp
+++ b/src/libs/edge/limitkeeping.cpp
@@ -1,7 +1,7 @@
 #include <edge/clock.h>
 #include <edge/limitkeeping.h>
+#include <edge/limitshares.h>
 #include <logging/log.h>
-#include <utils/hash.h>
 
 #include <algorithm>
 #include <utility>
@@ -12,38 +12,6 @@
 
 using Balancing::RequestLimit;
 
-/// VMs come and go; a share that is this old is computed again.
-constexpr Utils::Duration maxShareAge = std::chrono::seconds(1);
-/// Number of VMs that share a limit until the leader has told the number.
-constexpr std::uint32_t assumedVmCount = 32;
-
-double hashFraction(std::uint64_t hash)
-{
-    return static_cast<double>(hash >> 11) / static_cast<double>(1ULL << 53);
-}
-
-/// Whether this VM is among the \a shareholders of all \a vmCount members. All VMs rank the members alike.
-bool isAmongShareholders(
-    const Node& node, const Utils::UpstreamId& upstream, std::size_t shareholders, std::size_t vmCount)
-{
-    const std::uint64_t seed = Utils::stableHash(upstream.value);
-    const std::uint64_t own = Utils::stableHash(node.settings.address, seed);
-    if (node.relay.members.size() < vmCount)
-        return hashFraction(own) * static_cast<double>(vmCount) < static_cast<double>(shareholders);
-    std::size_t before = 0;
-    for (auto it = node.relay.members.begin(); it != node.relay.members.end(); ++it)
-        before += it->first != node.settings.address && Utils::stableHash(it->first, seed) < own ? 1 : 0;
-    return before < shareholders;
-}
-
-void updateShare(const Node& node, const Utils::UpstreamId& upstream, RequestLimit& limit, Utils::Instant at)
-{
-    const std::size_t vmCount = node.relay.vmCount > 0 ? node.relay.vmCount : assumedVmCount;
-    limit.shareholders = Balancing::countShareholders(limit.perSecond, vmCount);
-    limit.isShareholder = isAmongShareholders(node, upstream, limit.shareholders, vmCount);
-    limit.sharedAt = at;
-}
-
 void logLimitNamed(const Utils::UpstreamId& upstream, const RequestLimit& limit, bool reported)
 {
     Logging::write(Logging::Level::Warning, "limit_named",
@@ -84,8 +52,7 @@
     limit.perSecond = *perSecond;
     updateShare(node, upstream, limit, at);
     if (!limit.isNamed)
-        Balancing::startLimit(limit,
-            hashFraction(Utils::stableHash(upstream.value, Utils::stableHash(node.settings.name.value))), at);
+        Balancing::startLimit(limit, sharePhase(node, upstream), at);
     limit.nextSendAt = std::min(limit.nextSendAt, at + Balancing::shareInterval(limit));
     logLimitNamed(upstream, limit, reported);
     return true;
@@ -140,6 +107,7 @@
 
 void forgetLimit(Node& node, const Utils::UpstreamId& upstream)
 {
+    node.requestLimits.coldBudgets.erase(upstream);
     const auto found = node.requestLimits.byUpstream.find(upstream);
     if (found == node.requestLimits.byUpstream.end())
         return;
@@ -153,9 +121,7 @@
     const auto found = node.requestLimits.byUpstream.find(upstream);
     if (found == node.requestLimits.byUpstream.end() || !found->second.isNamed)
         return nullptr;
-    const Utils::Instant at = now();
-    if (at - found->second.sharedAt > Internal::maxShareAge)
-        Internal::updateShare(node, upstream, found->second, at);
+    refreshShare(node, upstream, found->second, now());
     return &found->second;
 }
 
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -1,5 +1,6 @@
 #include <edge/backlog.h>
 #include <edge/clock.h>
+#include <edge/coldupstreams.h>
 #include <edge/configurationage.h>
 #include <edge/limitkeeping.h>
 #include <edge/metricspage.h>
@@ -60,6 +61,8 @@
         static_cast<double>(Balancing::countQuarantined(node.traffic.poisonRequests, now())));
     writeSingleSample(text, "crocus_limited_upstreams", "gauge",
         "Upstreams that name a limit of their requests", static_cast<double>(countLimitedUpstreams(node)));
+    writeSingleSample(text, "crocus_cold_upstreams", "gauge", "Upstreams that are cold",
+        static_cast<double>(countColdUpstreams(node)));
     writeSingleSample(text, "crocus_leaving_upstreams", "gauge",
         "Upstreams that have said that they are leaving",
         static_cast<double>(node.leaving.upstreams.byId.size()));
@@ -108,6 +111,9 @@
     Internal::writeSingleSample(text, "crocus_holder_retries_total", "counter",
         "Retries at the holder of a key that rejected a request with room left",
         static_cast<double>(counters.holderRetries));
+    Internal::writeSingleSample(text, "crocus_left_unanswered_total", "counter",
+        "Requests that full upstreams have left without a response",
+        static_cast<double>(counters.leftUnanswered));
     Internal::writeSingleSample(text, "crocus_store_returns_total", "counter",
         "Returns of the store from an older copy", static_cast<double>(counters.storeReturns));
     Internal::writeSingleSample(text, "crocus_topic_restarts_total", "counter",
@@ -116,6 +122,9 @@
     Internal::writeSingleSample(text, "crocus_limit_delays_total", "counter",
         "Requests that waited for a send within the limit of an upstream",
         static_cast<double>(node.requestLimits.delayedSends));
+    Internal::writeSingleSample(text, "crocus_cold_refusals_total", "counter",
+        "Times that a cold upstream was passed over or a request for it refused, as no send was left",
+        static_cast<double>(node.requestLimits.coldRefusals));
     Internal::writeSingleSample(text, "crocus_reach_losses_total", "counter",
         "Times that this VM reached no upstream any more", static_cast<double>(node.reachProbing.losses));
     Internal::writeGauges(text, node);
--- a/src/libs/edge/requestlimits.h
+++ b/src/libs/edge/requestlimits.h
@@ -9,7 +9,7 @@
 
 namespace Edge {
 
-/// Limits that upstreams have named for the requests of all VMs together.
+/// What upstreams take of the requests of all VMs together.
 struct RequestLimits {
     /// Also limits that are no longer named, until the upstream ends.
     std::unordered_map<Utils::UpstreamId, Balancing::RequestLimit> byUpstream;
@@ -17,6 +17,10 @@
     std::set<Utils::UpstreamId> unsentToSource;
     std::set<Utils::UpstreamId> unsentToSubscribers;
     std::uint64_t delayedSends = 0;
+    /// Budgets of upstreams that are cold or were.
+    std::unordered_map<Utils::UpstreamId, Balancing::RequestLimit> coldBudgets;
+    /// Times that a cold upstream was passed over or a request for it refused, as no send was left.
+    std::uint64_t coldRefusals = 0;
 };
 
 } // namespace Edge
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -1,8 +1,11 @@
+#include <balancing/fullqueue.h>
 #include <balancing/loadmodel.h>
 #include <edge/clock.h>
+#include <edge/coldupstreams.h>
 #include <edge/addressreuse.h>
 #include <edge/crashreports.h>
 #include <edge/exchanges.h>
+#include <edge/fullupstreams.h>
 #include <edge/leaving.h>
 #include <edge/limitkeeping.h>
 #include <edge/pauses.h>
@@ -157,6 +160,9 @@
     switch (outcome) {
     case AttemptOutcome::Responded:
     case AttemptOutcome::ServerError:
+        load.lastAnsweredSentAt = std::max(load.lastAnsweredSentAt, connection.sentAt);
+        if (serverHeaders.load)
+            Balancing::recordServedQueue(stats, serverHeaders.load->waiting);
         Balancing::recordResponse(
             load, stats, makeResponseSample(node, connection, outcome, serverHeaders, at), at);
         updateMeanLatencies(node, connection, outcome, serverHeaders, at);
@@ -168,6 +174,12 @@
     case AttemptOutcome::Misdirected:
         Balancing::recordAbandonedRequest(load);
         break;
+    case AttemptOutcome::TimedOut:
+        if (recordLeftUnanswered(node, connection))
+            Balancing::recordAbandonedRequest(load);
+        else
+            Balancing::recordFailure(load, at);
+        break;
     default:
         Balancing::recordFailure(load, at);
         break;
@@ -229,6 +241,7 @@
     if (!serverHeaders.isStamped && !serverHeaders.notRun)
         return;
     recordNamedPause(node, connection.upstream, connection.upstreamStartTimeMs, serverHeaders);
+    recordColdTime(node, connection.upstream, connection.upstreamStartTimeMs, serverHeaders);
     if (serverHeaders.isLeaving)
         recordUpstreamLeaving(node, connection.upstream, connection.upstreamStartTimeMs);
 }
@@ -367,9 +380,12 @@
             if (!error)
                 recordUpstreamConnected(node);
             if (error) {
+                if (error == boost::asio::error::connection_refused)
+                    recordConnectionRefused(node, connection->upstream);
                 endAttempt(node, connection, AttemptOutcome::NotConnected);
                 return;
             }
+            recordConnectionMade(node, connection->upstream);
             connection->connectedAt = now();
             configureSocket(connection->socket);
             armTimer(node, connection, timeout, AttemptOutcome::TimedOut);
@@ -459,6 +475,8 @@
     exchange.mayHaveRun = exchange.mayHaveRun || connection->requestHandedOver;
     if (connection->requestHandedOver)
         recordAbandonedAttempt(node, exchange);
+    if (now() >= exchange.deadlineAt)
+        recordLeftUnanswered(node, *connection);
     Balancing::recordAbandonedRequest(node.traffic.upstreamStates[connection->upstream].load);
     Internal::closeConnection(node, *connection);
 }
--- a/src/libs/edge/upstreamstate.h
+++ b/src/libs/edge/upstreamstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <balancing/upstreamload.h>
+#include <edge/coldstate.h>
 #include <edge/unreadablereports.h>
 
 #include <cstdint>
@@ -14,6 +15,7 @@
     /// The process of the upstream with this start time has asked for no requests until then.
     Utils::Instant pausedUntil {};
     std::uint64_t pausedStartTimeMs = 0;
+    ColdState cold;
     UnreadableReports unreadableLoads;
     UnreadableReports unreadableColdTimes;
     /// Ids of the idle connections, most recently used last.
--- a/tests/auto/balancing/tst_requestlimit.cpp
+++ b/tests/auto/balancing/tst_requestlimit.cpp
@@ -61,7 +61,7 @@
         { "a limit above the load", 400, 12, false },
     }));
     INFO(row.name);
-    const std::size_t shareholders = countShareholders(row.perSecond, row.vmCount);
+    const std::size_t shareholders = countShareholders(row.perSecond, {}, row.vmCount);
     CHECK(shareholders <= row.vmCount);
     std::vector<RequestLimit> limits;
     for (std::size_t vm = 0; vm < shareholders; ++vm) {
