--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -11,6 +11,7 @@
 #include <edge/clock.h>
 #include <edge/crashreports.h>
 #include <edge/forwardingheaders.h>
+#include <edge/fullupstreams.h>
 #include <edge/leaving.h>
 #include <edge/limitedsends.h>
 #include <edge/pauses.h>
@@ -228,6 +229,11 @@
     }
     if (!candidates.empty() && !takePlace(node, exchange, candidates, at))
         return;
+    const std::optional<Utils::Duration> fullDelay = removeFull(node, *exchange, candidates, at);
+    if (candidates.empty() && fullDelay) {
+        respondLocally(node, exchange, LocalResponseReason::Overload, *fullDelay);
+        return;
+    }
     if (!exchange->service->keyed)
         Balancing::keepPreferred(candidates, node.traffic.serviceStats[exchange->service->id],
             Utils::stableHash(node.settings.name.value), at);
@@ -350,6 +356,7 @@
     std::vector<Balancing::Candidate> candidates = findCandidates(node, exchange, at);
     removePaused(node, exchange, candidates, at);
     removeLimited(node, exchange, candidates, at);
+    removeFull(node, exchange, candidates, at);
     return !candidates.empty();
 }
 
--- a/src/libs/edge/keyplanning.cpp
+++ b/src/libs/edge/keyplanning.cpp
@@ -1,4 +1,5 @@
 #include <edge/assignmentrecords.h>
+#include <edge/coldupstreams.h>
 #include <edge/keyplanning.h>
 #include <edge/leadershiplog.h>
 #include <edge/leaving.h>
@@ -53,6 +54,8 @@
         double capacity = entry.record.slots / std::max(seconds, minServiceTimeSeconds);
         if (const Balancing::RequestLimit* const limit = findLimit(node, it->first))
             capacity = std::min(capacity, std::max(limit->perSecond * usedLimitShare, minLimitedCapacity));
+        if (const Balancing::RequestLimit* const budget = findColdBudget(node, it->first, at))
+            capacity = std::min(capacity, std::max(budget->perSecond * usedLimitShare, minLimitedCapacity));
         (verdict == Routing::PlacementVerdict::Allowed ? targets : evacuated)
             .push_back({ it->first, capacity });
     }
