--- a/src/libs/edge/waitingrequests.cpp
+++ b/src/libs/edge/waitingrequests.cpp
@@ -54,6 +54,7 @@
         slots += candidate.slots;
     if (isNew) {
         scope.service = exchange.service->id;
+        scope.isKeyed = exchange.service->keyed;
         scope.queue.maxBytes = node.settings.memoryMegabytes * bytesPerMegabyte / queueMemoryDivisor;
         // Most holders are not busy: their limit only has to bind once they report a queue.
         scope.limit.requests = exchange.service->keyed ? slots : 0;
@@ -73,7 +74,9 @@
     case Routing::WorkQueueMode::Auto:
         break;
     }
-    return scope.hasLoadReports && node.relay.vmCount >= minVmCount && scope.limit.evenShare <= maxEvenShare;
+    // A key has one holder: to wait for it at one VM while other VMs send to it only costs time.
+    return !scope.isKeyed && scope.hasLoadReports && node.relay.vmCount >= minVmCount
+        && scope.limit.evenShare <= maxEvenShare;
 }
 
 unsigned placesOf(const Node& node, const WorkScope& scope, Utils::Instant at)
--- a/src/libs/edge/workscope.h
+++ b/src/libs/edge/workscope.h
@@ -15,6 +15,8 @@
     }
 
     Utils::ServiceId service;
+    /// Whether the scope is that of one holder.
+    bool isKeyed = false;
     Balancing::ConcurrencyLimit limit;
     Balancing::WorkQueue queue;
     /// Whether an upstream has reported its load.
