Spread busy spans also when all upstreams seem to be busy

What upstreams can serve is worked out from measured latencies, which include waits in a burst. With two busy spans the mean utilisation then exceeds one, and spreading gave up: in the new case the busiest holder kept 218 of 250 and 500 requests a second. Without spare capacity the load is levelled at the mean instead.

--- a/src/libs/granting/spreadoverload.cpp
+++ b/src/libs/granting/spreadoverload.cpp
@@ -122,15 +122,17 @@
 bool isWorthSpreading(double load, double keptLoad, const PlacementTarget& target)
 {
     const double moveShare = std::chrono::duration<double>(expectedMoveTime) / expectedOverloadTime;
-    return load - target.capacity > (load - keptLoad) * moveShare;
+    const double excess = load - std::max(target.capacity, keptLoad);
+    return excess >= minMovedLoad && excess > (load - keptLoad) * moveShare;
 }
 
 double spreadOverload(PlacementPlan& plan)
 {
     Spread spread;
     const double mean = plan.total / plan.totalCapacity;
-    spread.level = (1 + mean) / 2;
-    if (mean >= 1 || plan.placements.size() >= maxSegments)
+    // Without spare capacity the load is levelled: what the upstreams can serve is an estimate.
+    spread.level = std::max((1 + mean) / 2, mean);
+    if (plan.placements.size() >= maxSegments)
         return 0;
     spread.remainingSegments = maxSegments - plan.placements.size();
     std::vector<PlacementTarget> donors;
--- a/tests/auto/granting/tst_planplacement.cpp
+++ b/tests/auto/granting/tst_planplacement.cpp
@@ -250,3 +250,20 @@
         CHECK(kept->holder == placement.holder);
     }
 }
+
+TEST_CASE(
+    "A busy span is spread at once also if all upstreams seem to have too little capacity", "[planplacement]")
+{
+    // Load pattern: two busy spans in a burst, when latencies are measured with waits and capacities seem
+    // lower.
+    const double capacity = GENERATE(17.4, 8.0, 4.0);
+    const std::vector<PlacementTarget> targets = makeTargets(150, capacity);
+    std::vector<KeyPlacement> placements = *planPlacement({}, targets, {});
+    KeyLoad load = makeLoad(0, keyCount - 1, 500);
+    addLoad(load, makeLoad(20000, 200, 500));
+    addLoad(load, makeLoad(50000, 60, 250));
+    placements = *planPlacement(placements, targets, load);
+    checkCoversAllKeys(placements);
+    // Of 250 and 500 requests per second that the two holders were offered.
+    CHECK(findMaxLoad(placements, load) < 17.4);
+}
