--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -253,7 +253,8 @@
 void expediteLeaderTasks(Node& node)
 {
     // A VM that stops hands its work on and begins nothing early.
-    if (node.leader.isTickExpedited || node.stopping || !node.leader.leadership.term)
+    const bool isRunning = node.leader.electionStartedAt != Utils::Instant {} && !node.stopping;
+    if (node.leader.isTickExpedited || !isRunning || !node.leader.leadership.term)
         return;
     node.leader.isTickExpedited = true;
     node.leader.timer.expires_after(Granting::nextCallDelay);
