Count a single busy key as no more than an upstream can serve

Such a key can't be divided: what exceeds an upstream is no load to balance, and its holder gives its other keys away.

The new case fails before (482 requests a second beyond capacity after six plans) and passes; tst_granting [planplacement] and [hotspans] pass.

--- a/src/libs/granting/spreadoverload.cpp
+++ b/src/libs/granting/spreadoverload.cpp
@@ -55,14 +55,12 @@
             { { static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(end - 1) }, holder });
 }
 
-/// Moves pieces of the span at \a index until its holder has at most \a targetLoad.
-void spreadSpan(
-    PlacementPlan& plan, Spread& spread, std::size_t index, const PlacementTarget& donor, double targetLoad)
+/// Moves pieces of \a part, within the span at \a index, until their holder has at most \a targetLoad.
+void spreadPart(PlacementPlan& plan, Spread& spread, std::size_t index, const Routing::KeySpan& part,
+    const PlacementTarget& donor, double targetLoad)
 {
     const Routing::KeySpan whole = plan.placements[index].span;
     double& donorLoad = plan.loads[donor.id];
-    const Routing::KeySpan part
-        = findBusyPart(plan, whole, targetLoad - (donorLoad - computeLoad(plan, whole)));
     std::vector<KeyPlacement> pieces;
     std::uint32_t next = part.first;
     std::uint32_t firstKept = whole.first;
@@ -98,6 +96,17 @@
     plan.placements.insert(position, pieces.begin(), pieces.end());
 }
 
+/// Moves pieces of the span at \a index: of its busy part, or of all if that is a key too busy to move.
+void spreadSpan(
+    PlacementPlan& plan, Spread& spread, std::size_t index, const PlacementTarget& donor, double targetLoad)
+{
+    const Routing::KeySpan whole = plan.placements[index].span;
+    const double loadElsewhere = plan.loads[donor.id] - computeLoad(plan, whole);
+    const Routing::KeySpan part = findBusyPart(plan, whole, targetLoad - loadElsewhere);
+    const bool isKeyTooBusy = part.first == part.last && computeLoad(plan, part) >= donor.capacity;
+    spreadPart(plan, spread, index, isKeyTooBusy ? whole : part, donor, targetLoad);
+}
+
 /// Moves load away from \a donor, the busiest span first.
 void relieve(PlacementPlan& plan, Spread& spread, const PlacementTarget& donor)
 {
--- a/tests/auto/granting/tst_planplacement.cpp
+++ b/tests/auto/granting/tst_planplacement.cpp
@@ -267,3 +267,19 @@
     // Of 250 and 500 requests per second that the two holders were offered.
     CHECK(findMaxLoad(placements, load) < 17.4);
 }
+
+TEST_CASE(
+    "A single key that is too busy for any upstream does not move the keys of others", "[planplacement]")
+{
+    // Load pattern: a key gets 500 of 1,250 requests per second, and an upstream serves 17.
+    const std::vector<PlacementTarget> targets = makeTargets(150, 17.4);
+    std::vector<KeyPlacement> placements = *planPlacement({}, targets, {});
+    const std::vector<KeyPlacement> before = placements;
+    KeyLoad load = makeLoad(0, keyCount - 1, 750);
+    addLoad(load, makeLoad(4783, 1, 500));
+    CHECK(planUntilStable(placements, targets, load, 6) < 6);
+    // Those that its holder had besides, an even share.
+    CHECK(countMovedKeys(before, placements) <= keyCount / 150 + 1);
+    CHECK(placements.size() < 180);
+    CHECK(computeExcess(placements, targets, load) < 1);
+}
