--- a/src/libs/edge/exchanges.cpp
+++ b/src/libs/edge/exchanges.cpp
@@ -230,6 +230,10 @@
     if (!candidates.empty() && !takePlace(node, exchange, candidates, at))
         return;
     const std::optional<Utils::Duration> fullDelay = removeFull(node, *exchange, candidates, at);
+    if (candidates.empty() && fullDelay && isQueueInUse(node, *exchange)) {
+        returnToQueue(node, exchange);
+        return;
+    }
     if (candidates.empty() && fullDelay) {
         respondLocally(node, exchange, LocalResponseReason::Overload, *fullDelay);
         return;
