--- a/src/libs/edge/coldupstreams.cpp
+++ b/src/libs/edge/coldupstreams.cpp
@@ -67,9 +67,13 @@
         cold.backSince = now();
 }
 
-std::optional<Utils::Instant> takenBackAt(const Node&, const Routing::DirectoryEntry&)
+std::optional<Utils::Instant> takenBackAt(const Node& node, const Routing::DirectoryEntry& upstream)
 {
-    return std::nullopt;
+    const std::map<Utils::ZoneId, Routing::Evacuation>& byZone = node.clusterView.evacuations.byZone;
+    const auto found = byZone.find(upstream.record.zone);
+    if (found == byZone.end() || found->second.isInForce || found->second.endedAt == Utils::Instant {})
+        return std::nullopt;
+    return found->second.endedAt;
 }
 
 Utils::Instant coldEnd(const Node& node, const Routing::DirectoryEntry& upstream)
