--- a/tests/auto/edge/tst_homes.cpp
+++ b/tests/auto/edge/tst_homes.cpp
@@ -1,5 +1,7 @@
 #include "testenvironment.h"
 
+#include <edge/upstreamreach.h>
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -138,6 +140,32 @@
     CHECK(regions.countRuns("z1") == 0);
 }
 
+TEST_CASE("The body of a request with homes is handed to no VM whose region is not known", "[homes]")
+{
+    TwoRegions regions(std::map<std::string, std::string> { { "unsafe", "r1" } });
+    TestEnvironment& environment = regions.environment;
+    Edge::Service& vm = startVm(environment);
+    REQUIRE(runUntil(environment,
+        [&] { return vm.node.clusterView.directoryLoaded && vm.node.relay.members.size() == 2; }));
+    // No upstream listens there.
+    vm.node.settings.upstreamPortOffset = 1;
+    vm.node.calls.idleConnections.clear();
+    REQUIRE(runUntil(environment, [&] {
+        sendRequest(environment, vm, {});
+        return Edge::isReachLost(vm.node);
+    }));
+    for (auto it = vm.node.forwarding.peers.begin(); it != vm.node.forwarding.peers.end(); ++it)
+        it->second.zone = {};
+    CallerRequest order;
+    order.path = "/unsafe/1";
+    order.method = http::verb::post;
+    order.body = "order";
+    CHECK(sendRequest(environment, vm, order).status == 503);
+    // Other requests show where the other VM is.
+    CHECK(sendRequest(environment, vm, {}).status == 200);
+    CHECK(sendRequest(environment, vm, order).status == 200);
+}
+
 TEST_CASE("Keys move when a configuration sets homes", "[homes]")
 {
     TwoRegions regions;
