Start the second VM of a test once the first one leads

Cause of the failed setups of [evacuations]: of two VMs that start together either becomes the leader, by a hash of its address, which depends on the process; the test waits for the second one to subscribe.

--- a/tests/auto/edge/tst_evacuations.cpp
+++ b/tests/auto/edge/tst_evacuations.cpp
@@ -41,6 +41,8 @@
             }
         }
         startReadyVm(this->environment);
+        // Of two VMs that start together either may become the leader.
+        REQUIRE(runUntil(this->environment, [this] { return areKeysHeldOutside(vm(0), "none"); }));
         startVm(this->environment);
         REQUIRE(runUntil(this->environment, [this] {
             return vm(1).node.relay.isSubscribed && areKeysHeldOutside(vm(0), "none")
