--- a/src/app/crocusferryedge/main.cpp
+++ b/src/app/crocusferryedge/main.cpp
@@ -108,6 +108,7 @@
         "Added to the ports of upstreams, for tests with a proxy in front of them", false, 0, "number",
         command);
     std::vector<std::string> modes;
+    modes.reserve(Routing::workQueueModeNames.size());
     for (const Utils::EnumName<Routing::WorkQueueMode>& mode : Routing::workQueueModeNames)
         modes.emplace_back(mode.name);
     TCLAP::ValuesConstraint<std::string> allowedModes(modes);
