--- a/tests/auto/edge/tst_keys.cpp
+++ b/tests/auto/edge/tst_keys.cpp
@@ -113,6 +113,8 @@
     TestUpstream& terminated = addUpstream(environment, "k-1", "keyed", true);
     TestUpstream& other = addUpstream(environment, "k-2", "keyed", true);
     Edge::Service& vm = startReadyVm(environment);
+    // The first VM leads, as it is alone.
+    REQUIRE(runUntil(environment, [&vm] { return areAllSegmentsConfirmed(vm); }));
     Edge::Service& second = startVm(environment);
     REQUIRE(runUntil(environment, [&] {
         return areAllSegmentsConfirmed(vm) && areAllSegmentsConfirmed(second)
@@ -140,6 +142,7 @@
     TestUpstream& terminated = addUpstream(environment, "k-1", "keyed", true);
     TestUpstream& other = addUpstream(environment, "k-2", "keyed", true);
     Edge::Service& first = startReadyVm(environment);
+    REQUIRE(runUntil(environment, [&first] { return areAllSegmentsConfirmed(first); }));
     Edge::Service& second = startVm(environment);
     REQUIRE(runUntil(environment, [&] {
         return areAllSegmentsConfirmed(first) && areAllSegmentsConfirmed(second)
