--- a/tests/auto/balancing/tst_preferredupstreams.cpp
+++ b/tests/auto/balancing/tst_preferredupstreams.cpp
@@ -19,6 +19,7 @@
     const Distance distances[]
         = { Distance::SameZone, Distance::SameRegion, Distance::OtherRegion, Distance::OtherRegion };
     std::vector<Candidate> candidates;
+    candidates.reserve(count);
     for (std::size_t index = 0; index < count; ++index)
         candidates.push_back({ { "i-" + std::to_string(index) }, &load, 2, distances[index % 4], 1 });
     return candidates;
@@ -27,6 +28,7 @@
 std::vector<std::string> idsOf(const std::vector<Candidate>& candidates)
 {
     std::vector<std::string> ids;
+    ids.reserve(candidates.size());
     for (const Candidate& candidate : candidates)
         ids.push_back(candidate.id.value);
     std::sort(ids.begin(), ids.end());
