--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -253,8 +253,7 @@
 void expediteLeaderTasks(Node& node)
 {
     // A VM that stops hands its work on and begins nothing early.
-    const bool isRunning = node.leader.electionStartedAt != Utils::Instant {} && !node.stopping;
-    if (node.leader.isTickExpedited || !isRunning || !node.leader.leadership.term)
+    if (node.leader.isTickExpedited || node.stopping || !node.leader.leadership.term)
         return;
     node.leader.isTickExpedited = true;
     node.leader.timer.expires_after(Granting::nextCallDelay);
--- a/src/libs/granting/placementplan.cpp
+++ b/src/libs/granting/placementplan.cpp
@@ -9,14 +9,10 @@
 /// Minimum even load over all keys, in requests per second, for a service without traffic.
 constexpr double minEvenLoad = 2;
 
-/// \param maxKeyLoad what one upstream can serve. A key can't be divided, so that what exceeds this is no
-/// load to balance: it would make all upstreams but one seem idle.
-static std::vector<double> computeLoadPrefixSums(const KeyLoad& load, double maxKeyLoad)
+static std::vector<double> computeLoadPrefixSums(const KeyLoad& load)
 {
     constexpr std::size_t keys = std::size_t(UINT16_MAX) + 1;
-    std::vector<float> rates = estimateRates(load);
-    for (float& rate : rates)
-        rate = std::min(rate, static_cast<float>(maxKeyLoad));
+    const std::vector<float> rates = estimateRates(load);
     double measured = 0;
     for (const float rate : rates)
         measured += rate;
@@ -33,11 +29,10 @@
     PlacementPlan plan;
     plan.placements = current;
     plan.targets = targets;
+    plan.loadBefore = computeLoadPrefixSums(load);
+    plan.total = plan.loadBefore.back();
     for (const PlacementTarget& target : targets)
         plan.totalCapacity += target.capacity;
-    plan.loadBefore = computeLoadPrefixSums(
-        load, plan.totalCapacity / static_cast<double>(std::max<std::size_t>(targets.size(), 1)));
-    plan.total = plan.loadBefore.back();
     computeTargetLoads(plan);
     return plan;
 }
--- a/src/libs/granting/planplacement.h
+++ b/src/libs/granting/planplacement.h
@@ -19,9 +19,7 @@
 std::optional<std::vector<KeyPlacement>> planPlacement(const std::vector<KeyPlacement>& current,
     const std::vector<PlacementTarget>& targets, const KeyLoad& load);
 
-/// Returns the requests per second that upstreams are offered with \a placements beyond what they can serve,
-/// as far as other placements could do better: those for a single key count up to what one upstream can
-/// serve.
+/// Returns the requests per second that upstreams are offered with \a placements beyond what they can serve.
 double computeExcess(const std::vector<KeyPlacement>& placements, const std::vector<PlacementTarget>& targets,
     const KeyLoad& load);
 
--- a/src/libs/granting/spreadoverload.cpp
+++ b/src/libs/granting/spreadoverload.cpp
@@ -55,12 +55,14 @@
             { { static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(end - 1) }, holder });
 }
 
-/// Moves pieces of \a part, within the span at \a index, until their holder has at most \a targetLoad.
-void spreadPart(PlacementPlan& plan, Spread& spread, std::size_t index, const Routing::KeySpan& part,
-    const PlacementTarget& donor, double targetLoad)
+/// Moves pieces of the span at \a index until its holder has at most \a targetLoad.
+void spreadSpan(
+    PlacementPlan& plan, Spread& spread, std::size_t index, const PlacementTarget& donor, double targetLoad)
 {
     const Routing::KeySpan whole = plan.placements[index].span;
     double& donorLoad = plan.loads[donor.id];
+    const Routing::KeySpan part
+        = findBusyPart(plan, whole, targetLoad - (donorLoad - computeLoad(plan, whole)));
     std::vector<KeyPlacement> pieces;
     std::uint32_t next = part.first;
     std::uint32_t firstKept = whole.first;
@@ -96,17 +98,6 @@
     plan.placements.insert(position, pieces.begin(), pieces.end());
 }
 
-/// Moves pieces of the span at \a index: of its busy part, or of all if that is a key too busy to move.
-void spreadSpan(
-    PlacementPlan& plan, Spread& spread, std::size_t index, const PlacementTarget& donor, double targetLoad)
-{
-    const Routing::KeySpan whole = plan.placements[index].span;
-    const double loadElsewhere = plan.loads[donor.id] - computeLoad(plan, whole);
-    const Routing::KeySpan part = findBusyPart(plan, whole, targetLoad - loadElsewhere);
-    const bool isKeyTooBusy = part.first == part.last && computeLoad(plan, part) >= donor.capacity;
-    spreadPart(plan, spread, index, isKeyTooBusy ? whole : part, donor, targetLoad);
-}
-
 /// Moves load away from \a donor, the busiest span first.
 void relieve(PlacementPlan& plan, Spread& spread, const PlacementTarget& donor)
 {
@@ -131,17 +122,15 @@
 bool isWorthSpreading(double load, double keptLoad, const PlacementTarget& target)
 {
     const double moveShare = std::chrono::duration<double>(expectedMoveTime) / expectedOverloadTime;
-    const double excess = load - std::max(target.capacity, keptLoad);
-    return excess >= minMovedLoad && excess > (load - keptLoad) * moveShare;
+    return load - target.capacity > (load - keptLoad) * moveShare;
 }
 
 double spreadOverload(PlacementPlan& plan)
 {
     Spread spread;
     const double mean = plan.total / plan.totalCapacity;
-    // Without spare capacity the load is levelled: what the upstreams can serve is an estimate.
-    spread.level = std::max((1 + mean) / 2, mean);
-    if (plan.placements.size() >= maxSegments)
+    spread.level = (1 + mean) / 2;
+    if (mean >= 1 || plan.placements.size() >= maxSegments)
         return 0;
     spread.remainingSegments = maxSegments - plan.placements.size();
     std::vector<PlacementTarget> donors;
--- a/src/libs/granting/spreadoverload.h
+++ b/src/libs/granting/spreadoverload.h
@@ -18,8 +18,8 @@
 ///
 /// Load pattern: 200 adjacent keys get four tenths of the requests of 150 upstreams, and five seconds later
 /// 200 others. A piece a plan would relieve their holder when they are not busy any more. Receivers keep half
-/// of the mean spare capacity, so that the next span finds room; without any they are filled to the mean. A
-/// key that is too busy for one of them stays unless another upstream is emptier than its holder.
+/// of the mean spare capacity, so that the next span finds room; a key that is too busy for one of them stays
+/// unless another upstream is emptier than its holder.
 ///
 /// Returns the requests per second that have moved.
 double spreadOverload(PlacementPlan& plan);
