--- a/src/libs/edge/assignmentrecords.cpp
+++ b/src/libs/edge/assignmentrecords.cpp
@@ -1,7 +1,6 @@
 #include <edge/assignmentrecords.h>
 #include <edge/clusterviewupdates.h>
 #include <edge/clock.h>
-#include <edge/leaderelection.h>
 #include <edge/leadershiplog.h>
 #include <edge/topicfollowing.h>
 #include <edge/relay.h>
@@ -56,7 +55,6 @@
         queueAssignmentChange(node, previous, granter->second.assignment, offset++);
     }
     flushRelay(node);
-    expediteLeaderTasks(node);
 }
 
 std::map<Utils::ServiceId, Granting::KeyAssignment> decodeAssignments(const Platform::StorePage& page)
--- a/src/libs/edge/grantcalls.cpp
+++ b/src/libs/edge/grantcalls.cpp
@@ -1,7 +1,6 @@
 #include <edge/clock.h>
 #include <edge/addressreuse.h>
 #include <edge/grantcalls.h>
-#include <edge/leaderelection.h>
 #include <edge/leadershiplog.h>
 #include <edge/upstreamreach.h>
 #include <granting/grantingconstants.h>
@@ -61,8 +60,6 @@
         = action.kind == GrantAction::Kind::Grant && outcome == GrantOutcome::Accepted && !confirmsHolder;
     if (!isRenewal)
         logGrant(action, outcome);
-    if (!isRenewal && outcome == GrantOutcome::Accepted)
-        expediteLeaderTasks(node);
 }
 
 void sendAction(Node& node, const GrantAction& action)
--- a/src/libs/edge/keyplanning.cpp
+++ b/src/libs/edge/keyplanning.cpp
@@ -6,7 +6,6 @@
 #include <edge/limitkeeping.h>
 #include <edge/upstreamplacement.h>
 #include <granting/planplacement.h>
-#include <granting/planschedule.h>
 
 #include <algorithm>
 #include <set>
@@ -15,6 +14,9 @@
 
 namespace Internal {
 
+/// Time between two plans while nothing has changed.
+constexpr Utils::Duration planInterval = std::chrono::milliseconds(700);
+
 /// Keys are placed for the first time when no upstream has been added for this time, so that upstreams that
 /// start together all get keys.
 constexpr Utils::Duration upstreamQuietPeriod = std::chrono::milliseconds(900);
@@ -74,45 +76,18 @@
     std::vector<Granting::KeyPlacement> placements;
     placements.reserve(assignment.segments.size());
     for (const Granting::Segment& segment : assignment.segments)
-        placements.push_back({ segment.span, segment.holder, segment.isConfirmed });
+        placements.push_back({ segment.span, segment.holder });
     return placements;
 }
 
-/// Returns the requests per second that upstreams are offered beyond what they can serve.
-double computeExcess(Node& node, const Granting::Granter& granter, Utils::Instant at)
-{
-    Granting::KeyLoad& load = node.leader.keyLoads[granter.assignment.service];
-    Granting::decay(load, at);
-    return Granting::computeExcess(
-        currentPlacements(granter.assignment), findPlacementTargets(node, granter, at), load);
-}
-
-/// Load pattern: a span of keys becomes busy, and its holder is offered many times what it can serve. It
-/// can't wait for the next plan.
-bool hasNewOverload(Node& node, Utils::Instant at)
-{
-    if (!node.leader.hasUnplannedReports || at - node.leader.plannedAt < Granting::overloadPlanInterval)
-        return false;
-    node.leader.hasUnplannedReports = false;
-    return std::any_of(node.leader.granters.begin(), node.leader.granters.end(),
-        [&node, at](const std::pair<const Utils::ServiceId, Granting::Granter>& granter) {
-            return computeExcess(node, granter.second, at) > 0;
-        });
-}
-
 std::optional<Granting::KeyAssignment> planNextRecord(
     Node& node, Granting::Granter& granter, Utils::Instant at)
 {
     Granting::KeyLoad& load = node.leader.keyLoads[granter.assignment.service];
     Granting::decay(load, at);
     Granting::forgetUnresponsiveUpstreams(granter, at);
-    const std::vector<Granting::KeyPlacement> current = currentPlacements(granter.assignment);
-    const std::vector<Granting::PlacementTarget> targets = findPlacementTargets(node, granter, at);
-    const std::optional<std::vector<Granting::KeyPlacement>> plan
-        = Granting::planPlacement(current, targets, load);
-    if (plan)
-        logOverload(granter.assignment.service, Granting::computeExcess(current, targets, load),
-            Granting::computeExcess(*plan, targets, load));
+    const std::optional<std::vector<Granting::KeyPlacement>> plan = Granting::planPlacement(
+        currentPlacements(granter.assignment), findPlacementTargets(node, granter, at), load);
     if (!plan && !granter.hasUnwrittenChanges && node.leader.hasWrittenInTerm)
         return std::nullopt;
     if (granter.assignment.segments.empty() && !plan)
@@ -160,11 +135,9 @@
         [](const std::pair<const Utils::ServiceId, Granting::Granter>& granter) {
             return granter.second.hasUnwrittenChanges;
         });
-    const Utils::Duration interval = hasChanges ? Granting::confirmationPlanInterval : Granting::planInterval;
-    if (node.leader.hasWrittenInTerm && at - node.leader.plannedAt < interval && !hasNewOverload(node, at))
+    if (!hasChanges && node.leader.hasWrittenInTerm && at - node.leader.plannedAt < planInterval)
         return;
     node.leader.plannedAt = at;
-    node.leader.hasUnplannedReports = false;
     addGranters(node);
     std::vector<Granting::KeyAssignment> records;
     for (auto it = node.leader.granters.begin(); it != node.leader.granters.end(); ++it) {
--- a/src/libs/edge/leaderelection.cpp
+++ b/src/libs/edge/leaderelection.cpp
@@ -17,7 +17,6 @@
 #include <edge/storeera.h>
 #include <edge/topics.h>
 #include <granting/grantingconstants.h>
-#include <granting/planschedule.h>
 #include <granting/recordcodec.h>
 #include <granting/storereturn.h>
 #include <relay/relaytree.h>
@@ -186,7 +185,6 @@
 
 void tick(Node& node)
 {
-    node.leader.isTickExpedited = false;
     if (node.stopping && node.closing)
         return;
     const Utils::Instant at = now();
@@ -250,19 +248,6 @@
     return lowCapacityDelay + remoteStoreDelay + randomDelay / 4;
 }
 
-void expediteLeaderTasks(Node& node)
-{
-    // A VM that stops hands its work on and begins nothing early.
-    if (node.leader.isTickExpedited || node.stopping || !node.leader.leadership.term)
-        return;
-    node.leader.isTickExpedited = true;
-    node.leader.timer.expires_after(Granting::nextCallDelay);
-    node.leader.timer.async_wait([&node](const Internal::ErrorCode& error) {
-        if (!error)
-            Internal::tick(node);
-    });
-}
-
 void startLeaderElection(Node& node)
 {
     node.leader.electionStartedAt = now();
@@ -301,7 +286,6 @@
         Granting::decay(load, now());
         for (auto it = keys.counts.begin(); it != keys.counts.end(); ++it)
             Granting::addRequests(load, it->first, it->second);
-        node.leader.hasUnplannedReports = true;
     }
 }
 
--- a/src/libs/edge/leaderelection.h
+++ b/src/libs/edge/leaderelection.h
@@ -29,9 +29,6 @@
 /// Records that \a upstream has restarted; the new process holds no keys.
 void recordUpstreamRestarted(Node& node, const Utils::UpstreamId& upstream);
 
-/// Runs the tasks of the leader soon, as a response has made a call due. Their order is unchanged.
-void expediteLeaderTasks(Node& node);
-
 /// Adds the request counts that a VM reports to the load of each key.
 void applyLoadReport(Node& node, const Granting::LoadReport& report);
 
--- a/src/libs/edge/leadershiplog.cpp
+++ b/src/libs/edge/leadershiplog.cpp
@@ -43,15 +43,6 @@
     }
 }
 
-void logOverload(const Utils::ServiceId& service, double excess, double plannedExcess)
-{
-    if (excess <= 0)
-        return;
-    Logging::write(Logging::Level::Info, "holders_overloaded",
-        { { "service", service.value }, { "beyond_per_s", excess },
-            { "planned_beyond_per_s", plannedExcess } });
-}
-
 void logPlan(const Granting::KeyAssignment& previous, const Granting::KeyAssignment& next)
 {
     std::uint64_t unconfirmedKeys = 0;
--- a/src/libs/edge/leadershiplog.h
+++ b/src/libs/edge/leadershiplog.h
@@ -22,10 +22,6 @@
 void logEndedHolds(
     const Utils::ServiceId& service, const std::vector<Granting::PossibleHolder>& holds, const char* reason);
 
-/// Logs what the holders of keys are offered beyond what they can serve, in requests per second, and what a
-/// plan leaves of it; the next line of the service tells what has become of it.
-void logOverload(const Utils::ServiceId& service, double excess, double plannedExcess);
-
 /// Logs a change of placement that is about to be written.
 void logPlan(const Granting::KeyAssignment& previous, const Granting::KeyAssignment& next);
 
--- a/src/libs/edge/leaderstate.h
+++ b/src/libs/edge/leaderstate.h
@@ -36,10 +36,6 @@
     /// The outcome of a write is unknown, so the assignments must be read again.
     bool rereadNeeded = false;
     Utils::Instant plannedAt {};
-    /// Load reports have arrived since the last plan.
-    bool hasUnplannedReports = false;
-    /// The next tick is earlier than usual, as calls have become due.
-    bool isTickExpedited = false;
     /// Era of the store in which this VM, by a write of its own, knows all assignments that may be in force.
     std::optional<std::uint64_t> settledEra;
     /// When this VM began to act as the leader of the term.
--- a/src/libs/edge/loadreporting.cpp
+++ b/src/libs/edge/loadreporting.cpp
@@ -1,7 +1,5 @@
 #include <edge/relay.h>
 #include <edge/loadreporting.h>
-#include <edge/relaysource.h>
-#include <granting/planschedule.h>
 
 namespace Edge {
 
@@ -9,16 +7,14 @@
 
 using ErrorCode = boost::system::error_code;
 
-Utils::Duration reportInterval(const Node& node)
-{
-    return subscribedLinks(node).empty() ? Granting::loadReportInterval : Granting::relayedLoadReportInterval;
-}
+/// The busiest keys change within seconds, and the leader plans about as often.
+constexpr Utils::Duration loadReportInterval = std::chrono::milliseconds(500);
 
 } // namespace Internal
 
 void startLoadReporting(Node& node)
 {
-    node.loadReportTimer.expires_after(Internal::reportInterval(node));
+    node.loadReportTimer.expires_after(Internal::loadReportInterval);
     node.loadReportTimer.async_wait([&node](const Internal::ErrorCode& error) {
         if (error)
             return;
--- a/src/libs/granting/planplacement.h
+++ b/src/libs/granting/planplacement.h
@@ -14,13 +14,8 @@
 /// Load pattern: few keys, close to one another, get much of the traffic, and change within seconds;
 /// upstreams come and go. Keys without a usable holder are distributed over all targets. Beyond that, only as
 /// many keys move from the most to the least loaded upstream as are needed to bring the most loaded one near
-/// its share. Keys that are changing hands stay where they are going.
-/// \param current covers all keys, or is empty.
+/// its share. \param current covers all keys, or is empty.
 std::optional<std::vector<KeyPlacement>> planPlacement(const std::vector<KeyPlacement>& current,
     const std::vector<PlacementTarget>& targets, const KeyLoad& load);
 
-/// Returns the requests per second that upstreams are offered with \a placements beyond what they can serve.
-double computeExcess(const std::vector<KeyPlacement>& placements, const std::vector<PlacementTarget>& targets,
-    const KeyLoad& load);
-
 } // namespace Granting
--- a/tests/auto/granting/tst_planplacement.cpp
+++ b/tests/auto/granting/tst_planplacement.cpp
@@ -3,7 +3,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
 #include <map>
 #include <set>
 
@@ -217,36 +216,3 @@
     const std::vector<KeyPlacement> placements = *planPlacement({}, targets, {});
     CHECK(Routing::countKeys(placements[3].span) == Approx(keyCount / 2).epsilon(0.1));
 }
-
-TEST_CASE("A busy span at either end of the keys is cut without losing keys", "[planplacement]")
-{
-    const unsigned first = GENERATE(0U, 65336U);
-    std::vector<KeyPlacement> placements = *planPlacement({}, makeTargets(150), {});
-    KeyLoad load = makeLoad(0, keyCount - 1, 750);
-    addLoad(load, makeLoad(static_cast<std::uint16_t>(first), 200, 400));
-    const std::vector<PlacementTarget> targets = makeTargets(150, 17);
-    const double before = computeExcess(placements, targets, load);
-    placements = *planPlacement(placements, targets, load);
-    checkCoversAllKeys(placements);
-    CHECK(before > 300);
-    CHECK(computeExcess(placements, targets, load) < 1);
-}
-
-TEST_CASE("Keys that are changing hands do not move again", "[planplacement]")
-{
-    std::vector<KeyPlacement> placements = *planPlacement({}, makeTargets(13), {});
-    KeyLoad load = makeLoad(0, keyCount - 1, 44);
-    addLoad(load, makeLoad(20000, 200, 36));
-    for (KeyPlacement& placement : placements)
-        placement.isSettled = !Routing::contains(placement.span, 20100);
-    const std::vector<KeyPlacement> before = placements;
-    planUntilStable(placements, makeTargets(13), load, 4);
-    for (const KeyPlacement& placement : before) {
-        if (placement.isSettled)
-            continue;
-        const auto kept = std::find_if(placements.begin(), placements.end(),
-            [&placement](const KeyPlacement& other) { return other.span == placement.span; });
-        REQUIRE(kept != placements.end());
-        CHECK(kept->holder == placement.holder);
-    }
-}
