--- a/tests/auto/edge/tst_evacuations.cpp
+++ b/tests/auto/edge/tst_evacuations.cpp
@@ -163,7 +163,7 @@
     CHECK(Routing::countEvacuated(zones.vm(0).node.clusterView.evacuations) == 0);
 }
 
-TEST_CASE("A VM that starts while the store is away learns of evacuations", "[evacuations]")
+TEST_CASE("A VM that starts after the history was dropped learns of evacuations", "[evacuations]")
 {
     TwoZones zones;
     publishEvacuation(zones.environment, "z2", true);
