--- a/review/6/case.py
+++ b/review/6/case.py
@@ -75,7 +75,7 @@
 
 
 async def play(case):
-    servers = [standins.Server(case, f"i-stock-{number}", "stock", sharded=True, work=0.05) for number in range(3)]
+    servers = [standins.Server(case, f"i-stock-{number}", "stock", sharded=True, work=0.05) for number in range(4)]
     await case.start([standins.route(HOST, "stock", "safe", "/stock/", "stock")],
                      [standins.cluster("stock", sharded=True)], 2, servers)
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -63,7 +63,7 @@
 
 async def play(case):
     servers = [standins.Server(case, f"i-replays-{number}", "replays", body=BODY) for number in range(4)]
-    await case.start([standins.route(HOST, "replays", "download", "/replays/", "replays", timeout="10000ms",
+    await case.start([standins.route(HOST, "replays", "download", "/replays/", "replays", timeout="8000ms",
                                      target="1500ms")],
                      [standins.cluster("replays")], 2, servers)
     await asyncio.sleep(4)
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -513,11 +513,12 @@
     async def start(self, routes, services, machines, servers, body_bytes=67108864, idle="15000ms"):
         """Starts the store, the operator's first configuration, the servers and the machines."""
         await self.store.start()
-        await self.store.put("keyed.op", "config", json.dumps({
+        self.configuration = {
             "version": "r7",
             "limits": {"header_bytes": 16384, "body_bytes": body_bytes, "header": "3000ms",
                        "idle_timeout": idle},
-            "listeners": routes, "clusters": services}))
+            "listeners": routes, "clusters": services}
+        await self.publish_configuration()
         for server in servers:
             self.servers.append(server)
             await server.start()
@@ -529,6 +530,10 @@
         for machine in self.machines:
             await self.until(machine.is_ready, 15, f"{machine.name} is ready")
 
+    async def publish_configuration(self):
+        """Writes the whole configuration, as the operator does."""
+        await self.store.put("keyed.op", "config", json.dumps(self.configuration))
+
     async def until(self, condition, seconds, what):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
