Keep entries of services that no configuration names out of the directory

Cause: any entry that could be decoded was an upstream, whatever its service. At the address of a live upstream, with a later start, it ended that one's holds at the leader and at each next leader; under the id of a live upstream it hid that one, whose own entries looked older.

Reports are applied only if the configuration in force names their service, or did when the upstream became known. The others are kept by upstream and service, at most 4 MB of them, and applied when a configuration names the service: the topics are read independently. A VM that has read an entry which may hide an upstream asks its source for all upstreams, as it can't say any more that it has read everything.

--- a/src/libs/edge/clusterview.h
+++ b/src/libs/edge/clusterview.h
@@ -1,14 +1,17 @@
 #pragma once
 
+#include <edge/pendingreport.h>
 #include <granting/keyassignment.h>
 #include <routing/callerlimithistory.h>
 #include <routing/evacuations.h>
 #include <routing/routetable.h>
 #include <routing/upstreamdirectory.h>
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Edge {
@@ -21,6 +24,12 @@
     Utils::Instant routeTableSince {};
     Routing::UpstreamDirectory directory;
     bool directoryLoaded = false;
+    /// The last report of each upstream and service that no configuration names; see pendingreports.h.
+    std::map<std::pair<Utils::UpstreamId, Utils::ServiceId>, PendingReport> pendingReports;
+    std::size_t pendingReportBytes = 0;
+    /// Until then an upstream may be missing in the directory although its entry was read: another writer's
+    /// report may have taken the place of its own.
+    Utils::Instant mayMissUpstreamsUntil {};
     Routing::CallerLimitHistory callerLimits;
     /// The upstreams of each service that have not expired.
     std::unordered_map<Utils::ServiceId, std::vector<Utils::UpstreamId>> upstreamsByService;
--- a/src/libs/edge/clusterviewupdates.cpp
+++ b/src/libs/edge/clusterviewupdates.cpp
@@ -7,6 +7,7 @@
 #include <edge/leaderelection.h>
 #include <edge/leaving.h>
 #include <edge/limitkeeping.h>
+#include <edge/pendingreports.h>
 #include <edge/recorddecoding.h>
 #include <edge/relay.h>
 #include <edge/upstreams.h>
@@ -31,6 +32,9 @@
 
 namespace Internal {
 
+/// Upstreams that live report again within this time: three of their heartbeats.
+constexpr Utils::Duration nextReportTime = std::chrono::seconds(3);
+
 void recordDecodeError(
     Node& node, const Platform::StoreRecord& record, Platform::DecodeError error, const std::string& field)
 {
@@ -204,17 +208,48 @@
             { "delay_ms", sourceDelayMs(node) } });
 }
 
+/// Applies \a report, which \a record holds, to the directory.
+void applyNamedReport(Node& node, const Routing::UpstreamRecord& report, const Platform::StoreRecord& record)
+{
+    const Utils::UpstreamId& id = report.id;
+    const Utils::Instant formerColdEnd = reportedColdEnd(node, id);
+    const Routing::DirectoryChange change
+        = Routing::applyReport(node.clusterView.directory, report, record.offset, now());
+    handleDirectoryChange(node, id, change, record.offset);
+    const bool isColdTimeChanged
+        = change == Routing::DirectoryChange::None && hasColdTimeChanged(node, id, formerColdEnd);
+    if (isColdTimeChanged) {
+        node.leader.plannedAt = {};
+        logColdTimeChanged(node, id, record.offset);
+    }
+    if (change != Routing::DirectoryChange::None || isColdTimeChanged)
+        queueForRelay(node, { Relay::RelayTopic::Reports, record.key, record.value, record.offset });
+}
+
+/// Applies the reports whose service a new configuration names.
+void applyPendingReports(Node& node)
+{
+    const std::vector<PendingReport> named = takeNamedReports(node);
+    for (const PendingReport& pending : named)
+        applyNamedReport(node, pending.report, pending.record);
+    if (named.empty())
+        return;
+    indexUpstreamsByService(node);
+    resumeWaitingExchanges(node);
+}
+
 void applyUpstreamReport(Node& node, const Platform::StoreRecord& record)
 {
     if (record.key.empty())
         return;
     const Utils::UpstreamId id { record.key };
     if (!record.value) {
+        dropPendingReports(node, id);
         handleDirectoryChange(node, id,
             Routing::applyRemoval(node.clusterView.directory, id, record.offset, now()), record.offset);
         return;
     }
-    const std::optional<Routing::UpstreamRecord> report = decodeOrSkip<Routing::UpstreamRecord>(
+    std::optional<Routing::UpstreamRecord> report = decodeOrSkip<Routing::UpstreamRecord>(
         node, record, [&record] { return Platform::decodeUpstream(record.key, *record.value); });
     if (!report)
         return;
@@ -222,18 +257,10 @@
         recordDecodeError(node, record, Platform::DecodeError::OutOfRange, "born");
         return;
     }
-    const Utils::Instant formerColdEnd = reportedColdEnd(node, id);
-    const Routing::DirectoryChange change
-        = Routing::applyReport(node.clusterView.directory, *report, record.offset, now());
-    handleDirectoryChange(node, id, change, record.offset);
-    const bool isColdTimeChanged
-        = change == Routing::DirectoryChange::None && hasColdTimeChanged(node, id, formerColdEnd);
-    if (isColdTimeChanged) {
-        node.leader.plannedAt = {};
-        logColdTimeChanged(node, id, record.offset);
-    }
-    if (change != Routing::DirectoryChange::None || isColdTimeChanged)
-        queueForRelay(node, { Relay::RelayTopic::Reports, record.key, record.value, record.offset });
+    if (isServiceNamed(node, *report))
+        applyNamedReport(node, *report, record);
+    else
+        keepPendingReport(node, std::move(*report), record);
 }
 
 /// Expires the upstream \a id without a grace period, also during a store outage.
@@ -267,9 +294,10 @@
             continue;
         std::optional<Routing::Configuration> configuration = Internal::decodeOrSkip<Routing::Configuration>(
             node, record, [&record] { return Platform::decodeConfiguration(*record.value); });
-        if (configuration && Internal::applyConfiguration(node, std::move(*configuration), record.offset))
-            queueForRelay(
-                node, { Relay::RelayTopic::Configurations, record.key, record.value, record.offset });
+        if (!configuration || !Internal::applyConfiguration(node, std::move(*configuration), record.offset))
+            continue;
+        queueForRelay(node, { Relay::RelayTopic::Configurations, record.key, record.value, record.offset });
+        Internal::applyPendingReports(node);
     }
     flushRelay(node);
 }
@@ -293,18 +321,21 @@
 void applyUpstreamSnapshot(Node& node, const std::vector<Platform::StoreRecord>& records, Utils::Offset end)
 {
     std::set<std::string> reported;
+    Routing::UpstreamDirectory& directory = node.clusterView.directory;
     for (const Platform::StoreRecord& record : records) {
         reported.insert(record.key);
         Internal::applyUpstreamReport(node, record);
+        if (!directory.entries.contains({ record.key }))
+            node.clusterView.mayMissUpstreamsUntil = now() + Internal::nextReportTime;
     }
     std::vector<Utils::UpstreamId> missing;
-    Routing::UpstreamDirectory& directory = node.clusterView.directory;
     for (auto it = directory.entries.begin(); it != directory.entries.end(); ++it) {
         if (!reported.contains(it->first.value))
             missing.push_back(it->first);
     }
     for (const Utils::UpstreamId& id : missing)
         Internal::handleDirectoryChange(node, id, Routing::applyRemoval(directory, id, end, now()), end);
+    keepOnlyPendingReportsOf(node, reported);
     node.clusterView.directoryLoaded = true;
     Internal::indexUpstreamsByService(node);
     resumeWaitingExchanges(node);
@@ -313,6 +344,7 @@
 
 void applyUpstreamRemoval(Node& node, const Utils::UpstreamId& id, Utils::Offset offset)
 {
+    dropPendingReports(node, id);
     Internal::expireUpstream(node, id, offset);
     Internal::indexUpstreamsByService(node);
     resumeWaitingExchanges(node);
--- a/src/libs/edge/clusterviewupdates.h
+++ b/src/libs/edge/clusterviewupdates.h
@@ -15,7 +15,8 @@
 /// Applies a snapshot of the operator's topic, which ends the evacuations that it lacks.
 void applyOperatorSnapshot(Node& node, const std::vector<Platform::StoreRecord>& records, Utils::Offset end);
 
-/// Applies reports of upstreams.
+/// Applies reports of upstreams. Those of services that the configuration in force does not name are kept for
+/// a later one.
 void applyUpstreamReports(Node& node, const std::vector<Platform::StoreRecord>& records);
 
 /// Applies the newest report of every upstream; known upstreams that are not in \a records are missing.
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -32,6 +32,9 @@
         configurationConfirmed ? std::chrono::duration<double>(*configurationConfirmed).count() : -1);
     writeSingleSample(text, "crocus_upstreams", "gauge", "Upstreams known",
         static_cast<double>(clusterView.directory.entries.size()));
+    writeSingleSample(text, "crocus_pending_reports", "gauge",
+        "Reports of services that no configuration names",
+        static_cast<double>(clusterView.pendingReports.size()));
     writeSingleSample(text, "crocus_store_era", "gauge",
         "Era of the store; rises when it returns from a copy",
         static_cast<double>(node.storeEra.value_or(0)));
--- a/src/libs/edge/sourcelinks.cpp
+++ b/src/libs/edge/sourcelinks.cpp
@@ -54,7 +54,9 @@
     Relay::Subscription subscription;
     subscription.vm = node.settings.name;
     subscription.configurations = node.topicFollowers.configurations.nextOffset.value_or(0);
-    subscription.reports = node.topicFollowers.reports.nextOffset.value_or(0);
+    subscription.reports = now() < node.clusterView.mayMissUpstreamsUntil
+        ? 0
+        : node.topicFollowers.reports.nextOffset.value_or(0);
     subscription.assignments = node.topicFollowers.assignments.nextOffset.value_or(0);
     subscription.storeIsLocal = !isStoreRemote(node);
     subscription.zone = node.settings.zone;
--- a/tests/auto/edge/testenvironment.cpp
+++ b/tests/auto/edge/testenvironment.cpp
@@ -24,9 +24,9 @@
 constexpr std::uint16_t internalPort = 18620;
 
 const char* const configurationHead = R"("listeners":[{"host":"a.example","rules":[)";
-const char* const configurationTail
+const char* const configurationClusters
     = R"(]}],"clusters":[{"name":"plain","health_path":"/health","max_conns":9},)"
-      R"({"name":"keyed","health_path":"/health","max_conns":9,"sharded":true,"warm":"2s"}]})";
+      R"({"name":"keyed","health_path":"/health","max_conns":9,"sharded":true,"warm":"2s"})";
 
 std::string makeRule(const TestEnvironment& environment, const std::string& prefix, const std::string& kind,
     const std::string& service)
@@ -84,16 +84,29 @@
 
 void publishUpstreamEntry(TestEnvironment& environment, TestUpstream& upstream, const std::string& state)
 {
-    boost::system::error_code ignored;
-    const std::string address = upstream.httpServer.acceptor.local_endpoint(ignored).address().to_string()
-        + ":" + std::to_string(StandInSupport::portOf(upstream.httpServer));
     StandInStore::putRecord(environment.store, "keyed.servers", upstream.standIn.id,
-        R"({"address":")" + address + R"(","info":{"service":")" + upstream.service
+        R"({"address":")" + addressOf(upstream) + R"(","info":{"service":")" + upstream.service
             + R"(","version":"v1","zone":")" + upstream.zone + R"(","slots":2},"status":{"state":")" + state
             + R"(","seq_no":)" + std::to_string(++upstream.sequenceNumber) + R"(,"cold_left":"0ms"},"born":)"
             + std::to_string(upstream.startTimeMs) + "}");
 }
 
+void publishForeignEntry(TestEnvironment& environment, const std::string& key, const std::string& address,
+    std::uint64_t startTimeMs)
+{
+    StandInStore::putRecord(environment.store, "keyed.servers", key,
+        R"({"address":")" + address
+            + R"(","info":{"service":"inventory","version":"v1","zone":"z1","slots":2},"status":{"state":"ready",)"
+            + R"("seq_no":1,"cold_left":"0ms"},"born":)" + std::to_string(startTimeMs) + "}");
+}
+
+std::string addressOf(const TestUpstream& upstream)
+{
+    boost::system::error_code ignored;
+    return upstream.httpServer.acceptor.local_endpoint(ignored).address().to_string() + ":"
+        + std::to_string(StandInSupport::portOf(upstream.httpServer));
+}
+
 void removeUpstreamEntry(TestEnvironment& environment, const TestUpstream& upstream)
 {
     StandInStore::putRecord(environment.store, "keyed.servers", upstream.standIn.id, "");
@@ -106,8 +119,12 @@
 
 void publishConfiguration(TestEnvironment& environment, unsigned version, const std::string& extraRule)
 {
-    const std::string extra
-        = extraRule.empty() ? "" : "," + makeRule(environment, extraRule, "safe", "plain");
+    std::string extra = extraRule.empty() ? "" : "," + makeRule(environment, extraRule, "safe", "plain");
+    std::string clusters = configurationClusters;
+    for (const std::string& service : environment.extraServices) {
+        extra += "," + makeRule(environment, service, "safe", service);
+        clusters += R"(,{"name":")" + service + R"(","health_path":"/health","max_conns":9})";
+    }
     StandInStore::putRecord(environment.store, "keyed.op", "config",
         R"({"version":"r)" + std::to_string(version) + R"(","limits":{"header_bytes":)"
             + std::to_string(environment.callerLimits.headerBytes) + R"(,"body_bytes":)"
@@ -115,7 +132,7 @@
             + R"(,"header":"3000ms","idle_timeout":"15000ms"},)" + configurationHead
             + makeRule(environment, "safe", "safe", "plain") + ","
             + makeRule(environment, "unsafe", "unsafe", "plain") + ","
-            + makeRule(environment, "key", "safe", "keyed") + extra + configurationTail);
+            + makeRule(environment, "key", "safe", "keyed") + extra + clusters + "]}");
 }
 
 Edge::Service& startVm(TestEnvironment& environment, bool storeIsRemote, bool hasSeeds)
--- a/tests/auto/edge/testenvironment.h
+++ b/tests/auto/edge/testenvironment.h
@@ -72,6 +72,8 @@
     std::map<Utils::ZoneId, Utils::RegionId> regionByZone { { { "z1" }, { "r1" } } };
     /// Home regions of the published routes, by the first part of their path.
     std::map<std::string, std::string> homeRegions;
+    /// Further services of the published configurations, each with a route /NAME/.
+    std::vector<std::string> extraServices;
     /// Whether the VMs are told that the whole system starts for the first time.
     bool isFirstStart = false;
 };
@@ -87,6 +89,14 @@
 void publishUpstreamEntry(
     TestEnvironment& environment, TestUpstream& upstream, const std::string& state = "ready");
 
+/// Publishes under \a key an entry as another writer would: it has all fields, but its service is one that no
+/// configuration names.
+void publishForeignEntry(TestEnvironment& environment, const std::string& key, const std::string& address,
+    std::uint64_t startTimeMs);
+
+/// The address of an upstream as its entry has it.
+std::string addressOf(const TestUpstream& upstream);
+
 /// Removes the upstream's entry from the store.
 void removeUpstreamEntry(TestEnvironment& environment, const TestUpstream& upstream);
 
--- a/tests/auto/edge/tst_addressreuse.cpp
+++ b/tests/auto/edge/tst_addressreuse.cpp
@@ -53,6 +53,10 @@
     SlowServer current(context, "200 OK\r\nX-Instance-Id: moved", 1ms);
     SlowServer second(context, "200 OK\r\nX-Instance-Id: other", 1ms);
     Edge::Node node(context, {}, 1);
+    Routing::Configuration configuration;
+    configuration.services[{ "s" }].id = { "s" };
+    node.clusterView.routeTable
+        = std::make_shared<const Routing::RouteTable>(Routing::makeRouteTable(configuration));
     node.leader.leadership.term = 7;
     node.leader.leadership.leaseExpiry = Edge::now() + 60s;
     node.leader.hasWrittenInTerm = true;
