Don't take a peer that does not read for one that is gone

Cause: every connection had TCP_USER_TIMEOUT, 2.5 s. The kernel also ends a connection whose peer acknowledges everything but keeps its receive window closed for that long.

The same on related paths: an upstream that reads a long body slowly, and the other end of a call. As these responses use memory for longer, callers that have not read theirs for 2.5 s are disconnected when responses use more than their share.

Ruled out: a longer timeout for all (it would also delay the retry at a key's holder on a silent connection), and TCP_INFO, which not every place where the program runs may offer.

--- a/src/libs/edge/callerconnection.h
+++ b/src/libs/edge/callerconnection.h
@@ -52,6 +52,8 @@
     /// Requests without a completely written response, in the order of their arrival.
     std::deque<CallerRequest> requests;
     bool isWriting = false;
+    /// When the write in progress began.
+    Utils::Instant writingSince {};
     /// Whether a wait for the caller's end of the connection is pending.
     bool isWatching = false;
     /// The caller has closed its sending side, and perhaps both.
--- a/src/libs/edge/callerresponses.cpp
+++ b/src/libs/edge/callerresponses.cpp
@@ -1,8 +1,12 @@
 #include <edge/callerclosure.h>
 #include <edge/callerresponses.h>
 #include <edge/callers.h>
+#include <edge/clock.h>
 #include <edge/exchanges.h>
+#include <edge/requestlog.h>
+#include <edge/responsememory.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -22,6 +26,7 @@
 
 void armWriteTimer(Node& node, const std::shared_ptr<CallerConnection>& caller)
 {
+    caller->writingSince = now();
     startTimer(caller->writeTimer, responseWriteTimeout, [&node, caller] {
         if (isOpen(node, *caller))
             disconnectCaller(node, caller);
@@ -46,6 +51,9 @@
     request.response.emplace(std::move(response));
     request.responseBytes = request.response->body().capacity();
     node.traffic.responseBytes += request.responseBytes;
+    // Exchanges of other callers must not end here: they may be what is being processed.
+    if (isResponseMemoryExceeded(node))
+        boost::asio::post(node.context, [&node] { disconnectStalledCallers(node); });
     writeNextResponse(node, caller);
 }
 
@@ -118,6 +126,14 @@
         });
 }
 
+void disconnectStalledCallers(Node& node)
+{
+    while (const std::shared_ptr<CallerConnection> caller = findStalledCaller(node, now())) {
+        logStalledCaller(*caller, now());
+        disconnectCaller(node, caller);
+    }
+}
+
 bool writeInterimResponse(Node& node, const std::shared_ptr<CallerConnection>& caller, std::string_view text)
 {
     if (caller->isWriting)
--- a/src/libs/edge/callerresponses.h
+++ b/src/libs/edge/callerresponses.h
@@ -27,4 +27,7 @@
 /// Starts the requests that waited for the completion of earlier ones on their connection.
 void startDueRequests(Node& node, const std::shared_ptr<CallerConnection>& caller);
 
+/// Disconnects callers that have not read their responses for long, while responses use too much memory.
+void disconnectStalledCallers(Node& node);
+
 } // namespace Edge
--- a/src/libs/edge/callpool.cpp
+++ b/src/libs/edge/callpool.cpp
@@ -143,9 +143,15 @@
         });
 }
 
+/// The other end may read a large request slowly; the deadline of the call limits that.
+bool fitsIntoWindow(const Call& call) { return call.request.body().size() <= maxWindowedRequestBytes; }
+
 void sendRequest(CallPool& pool, std::uint64_t id, const std::shared_ptr<Call>& call)
 {
     call->requestSent = true;
+    // The connection keeps the limit of its first request unless a later one is large.
+    if (!call->usesIdleConnection || !fitsIntoWindow(*call))
+        setAcknowledgementLimit(call->socket, fitsIntoWindow(*call));
     http::async_write(call->socket, call->request, [&pool, id, call](const ErrorCode& error, std::size_t) {
         if (!isPending(pool, id))
             return;
--- a/src/libs/edge/relay.cpp
+++ b/src/libs/edge/relay.cpp
@@ -62,6 +62,8 @@
         if (!error) {
             const LinkPtr link = std::make_shared<RelayLink>(++node.traffic.lastId, std::move(socket));
             configureSocket(link->socket);
+            // A subscriber reads continuously; one that is gone must not count as a member.
+            setAcknowledgementLimit(link->socket, true);
             node.relay.subscribers.emplace(link->id, link);
             readFrames(node, link);
         }
--- a/src/libs/edge/requestlog.cpp
+++ b/src/libs/edge/requestlog.cpp
@@ -198,4 +198,13 @@
             { "left_ms", Utils::toMilliseconds(exchange.deadlineAt - now) } });
 }
 
+void logStalledCaller(const CallerConnection& caller, Utils::Instant now)
+{
+    Logging::write(Logging::Level::Warning, "caller_not_reading",
+        { { "caller", caller.id }, { "peer", caller.isPeer },
+            { "writing_ms", Utils::toMilliseconds(now - caller.writingSince) },
+            { "requests", caller.requests.size() },
+            { "bytes", caller.requests.empty() ? 0 : caller.requests.front().responseBytes } });
+}
+
 } // namespace Edge
--- a/src/libs/edge/requestlog.h
+++ b/src/libs/edge/requestlog.h
@@ -70,4 +70,7 @@
 void logQueueRejection(const Exchange& exchange, const WorkScope& scope,
     const Balancing::QueueRejection& rejection, Utils::Instant now);
 
+/// Logs that \a caller is disconnected, as it does not read its response while memory is short.
+void logStalledCaller(const CallerConnection& caller, Utils::Instant now);
+
 } // namespace Edge
--- a/src/libs/edge/responsememory.cpp
+++ b/src/libs/edge/responsememory.cpp
@@ -12,6 +12,9 @@
 /// Share of the memory that responses and request bodies may use together.
 constexpr double sharedMemoryShare = 0.9;
 
+/// Callers that read take less time for a response.
+constexpr Utils::Duration maxWriteTime = std::chrono::milliseconds(2500);
+
 /// Responses get less while request bodies use much of the memory.
 std::uint64_t responseLimitFor(const Node& node)
 {
@@ -41,10 +44,28 @@
     Internal::setReceivedBytes(node, connection, 0);
 }
 
+bool isResponseMemoryExceeded(const Node& node)
+{
+    return node.traffic.responseBytes > Internal::responseLimitFor(node);
+}
+
+std::shared_ptr<CallerConnection> findStalledCaller(const Node& node, Utils::Instant now)
+{
+    if (!isResponseMemoryExceeded(node))
+        return nullptr;
+    std::shared_ptr<CallerConnection> stalled;
+    for (auto it = node.traffic.callerConnections.begin(); it != node.traffic.callerConnections.end(); ++it) {
+        const CallerConnection& caller = *it->second;
+        const bool isStalled = caller.isWriting && now - caller.writingSince > Internal::maxWriteTime;
+        if (isStalled && (!stalled || caller.writingSince < stalled->writingSince))
+            stalled = it->second;
+    }
+    return stalled;
+}
+
 std::shared_ptr<UpstreamConnection> findExcessiveResponse(const Node& node)
 {
-    const std::uint64_t limit = Internal::responseLimitFor(node);
-    if (node.traffic.responseBytes <= limit)
+    if (!isResponseMemoryExceeded(node))
         return nullptr;
     const auto largest
         = std::max_element(node.traffic.upstreamConnections.begin(), node.traffic.upstreamConnections.end(),
--- a/src/libs/edge/sockets.cpp
+++ b/src/libs/edge/sockets.cpp
@@ -33,7 +33,13 @@
     Internal::setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, Internal::keepAliveIntervalSeconds);
     Internal::setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, Internal::keepAliveIntervalSeconds);
     Internal::setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, Internal::maxLostKeepAliveProbes);
-    Internal::setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, Internal::maxUnacknowledgedMs);
+}
+
+void setAcknowledgementLimit(Tcp::socket& socket, bool isLimited)
+{
+    constexpr int unlimited = 0;
+    Internal::setOption(
+        socket, IPPROTO_TCP, TCP_USER_TIMEOUT, isLimited ? Internal::maxUnacknowledgedMs : unlimited);
 }
 
 void discardUnsentDataOnClose(Tcp::socket& socket)
--- a/src/libs/edge/sourcelinks.cpp
+++ b/src/libs/edge/sourcelinks.cpp
@@ -51,6 +51,7 @@
 void subscribe(Node& node, const LinkPtr& link)
 {
     configureSocket(link->socket);
+    setAcknowledgementLimit(link->socket, true);
     Relay::Subscription subscription;
     subscription.vm = node.settings.name;
     subscription.configurations = node.topicFollowers.configurations.nextOffset.value_or(0);
--- a/src/libs/edge/upstreamconnection.h
+++ b/src/libs/edge/upstreamconnection.h
@@ -50,6 +50,8 @@
     /// Some of the request may have reached the upstream.
     bool requestHandedOver = false;
     bool requestWritten = false;
+    /// Whether sent data must be acknowledged soon; see setAcknowledgementLimit().
+    bool hasAcknowledgementLimit = false;
     Utils::Instant connectedAt {};
     /// When the attempt in progress began.
     Utils::Instant startedAt {};
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -3,6 +3,7 @@
 #include <edge/clock.h>
 #include <edge/coldupstreams.h>
 #include <edge/addressreuse.h>
+#include <edge/callerresponses.h>
 #include <edge/crashreports.h>
 #include <edge/exchanges.h>
 #include <edge/fullupstreams.h>
@@ -24,6 +25,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace Edge {
 
@@ -316,9 +318,11 @@
     return isHttpError && !isTruncated ? AttemptOutcome::MalformedResponse : AttemptOutcome::ConnectionLost;
 }
 
-/// Ends the attempt with the largest response if responses use too much memory.
+/// Ends the attempt with the largest response if responses use too much memory, also without those of callers
+/// that don't read.
 void enforceResponseMemory(Node& node)
 {
+    disconnectStalledCallers(node);
     const ConnectionPtr largest = findExcessiveResponse(node);
     if (!largest)
         return;
@@ -359,8 +363,17 @@
     readResponsePart(node, connection);
 }
 
+/// An upstream may read a large body slowly; the timeout of the attempt limits that.
+void limitAcknowledgementTime(UpstreamConnection& connection)
+{
+    const bool isLimited = connection.request->body().size() <= maxWindowedRequestBytes;
+    if (std::exchange(connection.hasAcknowledgementLimit, isLimited) != isLimited)
+        setAcknowledgementLimit(connection.socket, isLimited);
+}
+
 void sendRequest(Node& node, const ConnectionPtr& connection, const std::shared_ptr<Exchange>& exchange)
 {
+    limitAcknowledgementTime(*connection);
     connection->sentAt = now();
     connection->requestWritten = false;
     connection->requestHandedOver = true;
--- a/tests/auto/edge/rawcaller.cpp
+++ b/tests/auto/edge/rawcaller.cpp
@@ -40,12 +40,19 @@
 }
 
 void connectAndSend(RawCaller& caller, const Routing::Endpoint& endpoint, const std::string& bytes)
+{
+    connectWithoutReading(caller, endpoint, bytes);
+    startReading(caller);
+}
+
+void connectWithoutReading(RawCaller& caller, const Routing::Endpoint& endpoint, const std::string& bytes)
 {
     caller.socket.connect({ asio::ip::make_address(endpoint.address), endpoint.port });
     sendBytes(caller, bytes);
-    readMore(caller);
 }
 
+void startReading(RawCaller& caller) { readMore(caller); }
+
 void sendBytes(RawCaller& caller, const std::string& bytes)
 {
     asio::write(caller.socket, asio::buffer(bytes));
--- a/tests/auto/edge/rawcaller.h
+++ b/tests/auto/edge/rawcaller.h
@@ -42,6 +42,12 @@
 /// The same with any \a endpoint.
 void connectAndSend(RawCaller& caller, const Routing::Endpoint& endpoint, const std::string& bytes);
 
+/// The same without reading; startReading() begins that.
+void connectWithoutReading(RawCaller& caller, const Routing::Endpoint& endpoint, const std::string& bytes);
+
+/// Reads in the background.
+void startReading(RawCaller& caller);
+
 void sendBytes(RawCaller& caller, const std::string& bytes);
 
 /// The complete final responses so far, in their order.
