Take no part of a response for the whole when the connection is reset during an upload

Cause: a socket reports a reset once. The write in progress took the error, which nothing looked at, and the read saw an orderly end, which completes a response without a length.

The result of the write is kept now. If it failed other than with EPIPE, which the kernel reports for a reset behind an orderly end, such a response is incomplete. A write whose result has not been handled yet is waited for. Calls read only after they have written, so their read sees the reset; two rows guard that.

--- a/src/libs/edge/upstreamconnection.h
+++ b/src/libs/edge/upstreamconnection.h
@@ -50,6 +50,9 @@
     /// Some of the request may have reached the upstream.
     bool requestHandedOver = false;
     bool requestWritten = false;
+    /// The connection failed while the request was written, other than by an end that the upstream had sent
+    /// before.
+    bool hasWriteFailed = false;
     /// Whether sent data must be acknowledged soon; see setAcknowledgementLimit().
     bool hasAcknowledgementLimit = false;
     Utils::Instant connectedAt {};
--- a/src/libs/edge/upstreams.cpp
+++ b/src/libs/edge/upstreams.cpp
@@ -21,6 +21,7 @@
 #include <logging/log.h>
 #include <platform/headers.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -311,6 +312,34 @@
         finishAttempt(node, connection, outcome, std::move(response));
 }
 
+/// Handles the response that has been read. One without a length is complete unless the connection was reset.
+/// A write that was in progress takes that error from the socket, so that the read only sees an end.
+void handleReadResponse(Node& node, const ConnectionPtr& connection)
+{
+    if (connection->parser->need_eof() && connection->hasWriteFailed) {
+        Logging::write(Logging::Level::Info, "response_broken_off",
+            { { "upstream", connection->upstream.value },
+                { "bytes", connection->parser->get().body().size() } });
+        endAttempt(node, connection, AttemptOutcome::ConnectionLost);
+        return;
+    }
+    handleResponse(node, connection);
+}
+
+/// Handles that the response has been read. A failed write may be handled after the read that it explains.
+void handleEndOfResponse(Node& node, const ConnectionPtr& connection)
+{
+    const bool isWriting = !connection->requestWritten && !connection->hasWriteFailed;
+    if (!connection->parser->need_eof() || !isWriting) {
+        handleReadResponse(node, connection);
+        return;
+    }
+    boost::asio::post(node.context, [&node, connection, exchangeId = connection->exchangeId] {
+        if (isOpen(node, *connection) && connection->exchangeId == exchangeId)
+            handleReadResponse(node, connection);
+    });
+}
+
 AttemptOutcome outcomeForError(const ErrorCode& error)
 {
     const bool isHttpError = error.category() == http::make_error_code(http::error::bad_method).category();
@@ -343,7 +372,7 @@
                 return;
             }
             if (connection->parser->is_done()) {
-                handleResponse(node, connection);
+                handleEndOfResponse(node, connection);
                 return;
             }
             recordReceivedBytes(node, *connection);
@@ -376,13 +405,16 @@
     limitAcknowledgementTime(*connection);
     connection->sentAt = now();
     connection->requestWritten = false;
+    connection->hasWriteFailed = false;
     connection->requestHandedOver = true;
     connection->skippedResponses = 0;
     // The request refers to the body of the exchange, which the handler keeps alive.
     http::async_write(connection->socket, *connection->request,
         [&node, connection, exchange](const ErrorCode& error, std::size_t) {
-            if (isOpen(node, *connection))
-                connection->requestWritten = !error;
+            if (!isOpen(node, *connection))
+                return;
+            connection->requestWritten = !error;
+            connection->hasWriteFailed = error && error != boost::asio::error::broken_pipe;
         });
     // An upstream may respond before it has read the whole body.
     readResponse(node, connection);
--- a/tests/auto/edge/tst_brokenresponses.cpp
+++ b/tests/auto/edge/tst_brokenresponses.cpp
@@ -1,3 +1,4 @@
+#include "headfirstupstream.h"
 #include "rawcaller.h"
 #include "scriptedupstream.h"
 
@@ -88,6 +89,67 @@
     };
 }
 
+/// How an upstream ends the connection on which it has responded without a length.
+enum class EarlyEnd {
+    /// It resets the connection while it is sent the request.
+    Reset,
+    /// It closes the connection with a part of the request unread, which resets it.
+    ClosedUnread,
+    /// It ends its response and reads the rest of the request.
+    ReadsOn,
+    /// It ends its response and closes the connection later, which resets it then.
+    ClosedLater,
+};
+
+struct EarlyRow {
+    const char* name;
+    EarlyEnd end;
+    bool isComplete;
+};
+
+/// Ends the response on \a session as \a end says.
+void endEarly(TestEnvironment& environment, const HeadFirstSessionPtr& session, EarlyEnd end)
+{
+    boost::system::error_code ignored;
+    switch (end) {
+    case EarlyEnd::Reset:
+        session->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        session->socket.close(ignored);
+        break;
+    case EarlyEnd::ClosedUnread:
+        session->socket.close(ignored);
+        break;
+    case EarlyEnd::ReadsOn:
+        session->socket.shutdown(boost::asio::socket_base::shutdown_send, ignored);
+        readRestLater(environment, session, 0ms, [] {});
+        break;
+    case EarlyEnd::ClosedLater: {
+        session->socket.shutdown(boost::asio::socket_base::shutdown_send, ignored);
+        const std::shared_ptr<boost::asio::steady_timer> timer
+            = std::make_shared<boost::asio::steady_timer>(environment.context, 100ms);
+        timer->async_wait([session, timer](const boost::system::error_code&) {
+            boost::system::error_code closeError;
+            session->socket.close(closeError);
+        });
+        break;
+    }
+    }
+}
+
+/// Responds before the request has been read, and ends the response a little later.
+HeadFirstUpstream::Script makeEarlyScript(TestEnvironment& environment, EarlyEnd end)
+{
+    return [&environment, end](const HeadFirstSessionPtr& session) {
+        writeAll(session, responseHead(session, "Connection: close\r\n") + "part");
+        const std::shared_ptr<boost::asio::steady_timer> timer
+            = std::make_shared<boost::asio::steady_timer>(environment.context, 50ms);
+        timer->async_wait([&environment, session, timer, end](
+                              const boost::system::error_code&) { endEarly(environment, session, end); });
+    };
+}
+
+constexpr std::size_t uploadBytes = 8000000;
+
 CallerRequest makeRequest(bool unsafe)
 {
     CallerRequest request;
@@ -138,3 +200,52 @@
     CHECK(response->outcome == Edge::CallOutcome::NoValidResponse);
     CHECK(requests == 1);
 }
+
+TEST_CASE(
+    "No success is made of an early response that is reset while the request is sent", "[brokenresponses]")
+{
+    // Guards against parts of responses that count as complete: the write of the request took the error of
+    // the reset, and the read saw an end.
+    const EarlyRow row = GENERATE(values<EarlyRow>({
+        { "reset", EarlyEnd::Reset, false },
+        { "closed with a part unread", EarlyEnd::ClosedUnread, false },
+        { "ended, the rest is read", EarlyEnd::ReadsOn, true },
+        { "ended, closed later", EarlyEnd::ClosedLater, true },
+    }));
+    const bool unsafe = GENERATE(false, true);
+    INFO(row.name << (unsafe ? ", unsafe" : ", safe"));
+    TestEnvironment environment;
+    environment.callerLimits.bodyBytes = uploadBytes;
+    HeadFirstUpstream upstream(environment);
+    upstream.script = makeEarlyScript(environment, row.end);
+    startHeadFirstUpstream(upstream, "i-1");
+    Edge::Service& vm = startReadyVm(environment);
+    CallerRequest request;
+    request.path = unsafe ? "/unsafe/1" : "/safe/1";
+    request.method = http::verb::post;
+    request.body = std::string(uploadBytes, 'x');
+    const CallerResponse response = sendRequest(environment, vm, request);
+    CHECK(response.status == (row.isComplete ? 200 : 502));
+    CHECK((response.body == "part") == row.isComplete);
+    CHECK(response.serverStamp.empty() != row.isComplete);
+}
+
+TEST_CASE("No response is made of another VM's early one that is reset while the request is sent",
+    "[brokenresponses]")
+{
+    const EarlyEnd end = GENERATE(EarlyEnd::Reset, EarlyEnd::ClosedUnread);
+    TestEnvironment environment;
+    HeadFirstUpstream peer(environment);
+    peer.script = makeEarlyScript(environment, end);
+    startHeadFirstUpstream(peer, "i-1");
+    Platform::HttpRequest request(http::verb::post, "/plain/1", 11);
+    request.body() = std::string(uploadBytes, 'x');
+    request.prepare_payload();
+    std::optional<Edge::CallResponse> response;
+    Edge::startCall(
+        environment.callPool, endpointOf(peer), std::move(request), 2s,
+        [&response](Edge::CallResponse received) { response = std::move(received); }, 1 << 20,
+        Edge::CallRepetition::Never);
+    REQUIRE(runUntil(environment, [&response] { return response.has_value(); }));
+    CHECK(response->outcome == Edge::CallOutcome::NoValidResponse);
+}
