Give crash reports in datagrams a budget

Cause: a VM without a source sends each of its crash reports to all members, three times. So no source is found, which would end them.

Two counters show the datagrams.

--- a/src/libs/edge/crashreporting.h
+++ b/src/libs/edge/crashreporting.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <edge/queuedcrashreport.h>
+#include <relay/datagrambudget.h>
 
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 
@@ -27,6 +29,9 @@
     /// Reports that may not have reached the other VMs yet, the oldest first.
     std::deque<QueuedCrashReport> queue;
     std::uint64_t lastReportNumber = 0;
+    Relay::DatagramBudget datagramBudget;
+    /// Number of members that datagrams have been sent to; the next ones in turn follow.
+    std::size_t datagramsSent = 0;
     /// When an upstream was last found to have terminated without notice.
     Utils::Instant lastVanishedAt {};
     /// Number of first crashes that may be reported now, as of tokensAt.
--- a/src/libs/edge/crashreports.cpp
+++ b/src/libs/edge/crashreports.cpp
@@ -37,7 +37,6 @@
 /// Reports of upstreams that live; each clears all requests of its upstream.
 constexpr double lifeReportsPerSecond = 10;
 constexpr double maxLifeReportBurst = 20;
-constexpr std::size_t maxDatagramTargets = 256;
 constexpr std::size_t maxQueuedReports = 1024;
 /// Upstreams that terminate silently are missing in the store a few heartbeats later, or are back by then.
 constexpr Utils::Duration unresolvedRetention = std::chrono::seconds(8);
@@ -214,19 +213,37 @@
         sendFrame(node, link, bytes);
 }
 
-void sendToMembers(Node& node, const Relay::CrashReportFrame& frame)
+/// The members that the next datagram goes to, others each time.
+std::vector<std::string> nextTargets(Node& node)
+{
+    std::vector<std::string> others;
+    for (auto it = node.relay.members.begin(); it != node.relay.members.end(); ++it) {
+        if (it->first != node.settings.address)
+            others.push_back(it->first);
+    }
+    std::vector<std::string> targets;
+    const std::size_t count = std::min(others.size(), Relay::maxDatagramTargets);
+    for (std::size_t index = 0; index < count; ++index)
+        targets.push_back(others[(node.crashReporting.datagramsSent + index) % others.size()]);
+    node.crashReporting.datagramsSent += count;
+    return targets;
+}
+
+/// Returns false if the VM has sent too much already.
+bool sendToMembers(Node& node, const Relay::CrashReportFrame& frame, Utils::Instant at)
 {
     const std::string bytes = Relay::encodeFrame(frame);
+    const std::size_t targetCount = std::min(node.relay.members.size(), Relay::maxDatagramTargets);
+    if (!Relay::tryConsume(node.crashReporting.datagramBudget, bytes.size() * targetCount, at)) {
+        ++node.counters.delayedCrashDatagrams;
+        return false;
+    }
+    node.counters.crashDatagramBytes += bytes.size() * targetCount;
     ErrorCode firstError;
-    std::size_t targets = 0;
-    for (auto it = node.relay.members.begin(); it != node.relay.members.end(); ++it) {
-        if (it->first == node.settings.address)
-            continue;
-        if (++targets > maxDatagramTargets)
-            break;
+    for (const std::string& address : nextTargets(node)) {
         ErrorCode error;
         const Udp::endpoint target(
-            boost::asio::ip::make_address(it->first, error), node.settings.firstInternalPort);
+            boost::asio::ip::make_address(address, error), node.settings.firstInternalPort);
         if (!error)
             node.crashReporting.socket.send_to(boost::asio::buffer(bytes), target, 0, error);
         if (error && !firstError)
@@ -235,23 +252,38 @@
     if (firstError)
         Logging::write(
             Logging::Level::Warning, "crash_report_not_sent", { { "error", firstError.message() } });
+    return true;
 }
 
+/// The reports that are to be sent in datagrams, crashes before what withdraws them: a request that crashes
+/// upstreams must not reach more of them.
+std::vector<QueuedCrashReport*> pendingInDatagrams(std::deque<QueuedCrashReport>& queue)
+{
+    std::vector<QueuedCrashReport*> pending;
+    for (QueuedCrashReport& queued : queue) {
+        if (queued.datagramsLeft > 0)
+            pending.push_back(&queued);
+    }
+    std::stable_partition(pending.begin(), pending.end(), [](const QueuedCrashReport* queued) {
+        return queued->kind == Kind::Crash || queued->kind == Kind::ConfirmedCrash;
+    });
+    return pending;
+}
+
+/// Sends what the budget allows; the rest stays in the queue.
 void sendInDatagrams(Node& node, Utils::Instant at)
 {
-    Relay::CrashReportFrame frame;
-    for (QueuedCrashReport& queued : node.crashReporting.queue) {
-        if (queued.datagramsLeft == 0)
-            continue;
-        --queued.datagramsLeft;
-        frame.reports.push_back(toReport(queued.kind, queued.attempt, at));
-        if (frame.reports.size() < maxReportsPerDatagram)
-            continue;
-        sendToMembers(node, frame);
-        frame.reports.clear();
+    const std::vector<QueuedCrashReport*> pending = pendingInDatagrams(node.crashReporting.queue);
+    for (std::size_t first = 0; first < pending.size(); first += maxReportsPerDatagram) {
+        const std::size_t last = std::min(first + maxReportsPerDatagram, pending.size());
+        Relay::CrashReportFrame frame;
+        for (std::size_t index = first; index < last; ++index)
+            frame.reports.push_back(toReport(pending[index]->kind, pending[index]->attempt, at));
+        if (!sendToMembers(node, frame, at))
+            return;
+        for (std::size_t index = first; index < last; ++index)
+            --pending[index]->datagramsLeft;
     }
-    if (!frame.reports.empty())
-        sendToMembers(node, frame);
 }
 
 void receiveDatagram(Node& node)
--- a/src/libs/edge/metricspage.cpp
+++ b/src/libs/edge/metricspage.cpp
@@ -135,6 +135,12 @@
     Internal::writeSingleSample(text, "crocus_topic_restarts_total", "counter",
         "Topics that were read anew as their positions were lost",
         static_cast<double>(counters.topicRestarts));
+    Internal::writeSingleSample(text, "crocus_crash_datagram_bytes_total", "counter",
+        "Bytes of crash reports sent in datagrams, for lack of a source",
+        static_cast<double>(counters.crashDatagramBytes));
+    Internal::writeSingleSample(text, "crocus_delayed_crash_datagrams_total", "counter",
+        "Datagrams with crash reports that waited, as this VM had sent enough",
+        static_cast<double>(counters.delayedCrashDatagrams));
     Internal::writeSingleSample(text, "crocus_limit_delays_total", "counter",
         "Requests that waited for a send within the limit of an upstream",
         static_cast<double>(node.requestLimits.delayedSends));
