Write assignments again that the store has rejected

Cause: a change counted as written when the record was built. After an unknown outcome the topic is read and written again, after a rejection nothing was done while no keys moved.

The assignments of a write that was not acknowledged are marked as changed again, and the next write waits 150 ms.

Evidence: edge.storefaults, "Holders are confirmed": the row "rejecting" failed without the change, "silent" passed; both pass now, with fewer than 60 calls in a second of rejections.

--- a/src/libs/edge/assignmentrecords.cpp
+++ b/src/libs/edge/assignmentrecords.cpp
@@ -25,6 +25,9 @@
 
 using Platform::StoreOutcome;
 
+/// Interval between two writes while the store acknowledges none.
+constexpr Utils::Duration rewriteInterval = std::chrono::milliseconds(150);
+
 std::vector<std::string> encodeRecords(const std::vector<Granting::KeyAssignment>& assignments)
 {
     std::vector<std::string> records;
@@ -132,6 +135,18 @@
             { "ms", Utils::toMilliseconds(leader.grantsNotBefore - leader.termStartedAt) } });
 }
 
+/// Makes the leader write \a assignments, which the store has not acknowledged, again soon: no other change
+/// of them may follow.
+void requestRewrite(Node& node, const std::vector<Granting::KeyAssignment>& assignments)
+{
+    for (const Granting::KeyAssignment& assignment : assignments) {
+        const auto granter = node.leader.granters.find(assignment.service);
+        if (granter != node.leader.granters.end())
+            granter->second.hasUnwrittenChanges = true;
+    }
+    node.leader.writeNotBefore = now() + rewriteInterval;
+}
+
 void writeAssignments(Node& node, std::vector<Granting::KeyAssignment> assignments)
 {
     node.leader.writeInProgress = true;
@@ -161,6 +176,7 @@
             Logging::write(Logging::Level::Warning, "assignment_not_written",
                 { { "outcome", Utils::enumName(Platform::storeOutcomeNames, outcome) }, { "term", term } });
             node.leader.rereadNeeded = outcome != StoreOutcome::Rejected;
+            requestRewrite(node, assignments);
         });
 }
 
--- a/src/libs/edge/keyplanning.cpp
+++ b/src/libs/edge/keyplanning.cpp
@@ -129,7 +129,7 @@
 {
     if (!node.clusterView.directoryLoaded
         || (!node.leader.hasWrittenInTerm && isWaitingForUpstreams(node, at)) || node.leader.writeInProgress
-        || Granting::isStoreUnresponsive(node.leader.leadership, at))
+        || at < node.leader.writeNotBefore || Granting::isStoreUnresponsive(node.leader.leadership, at))
         return;
     const bool hasChanges = std::any_of(node.leader.granters.begin(), node.leader.granters.end(),
         [](const std::pair<const Utils::ServiceId, Granting::Granter>& granter) {
--- a/src/libs/edge/leaderstate.h
+++ b/src/libs/edge/leaderstate.h
@@ -33,6 +33,8 @@
     /// The assignments are being read from the store.
     bool readInProgress = false;
     bool writeInProgress = false;
+    /// When assignments may be written again after the store has not acknowledged a write.
+    Utils::Instant writeNotBefore {};
     /// The outcome of a write is unknown, so the assignments must be read again.
     bool rereadNeeded = false;
     Utils::Instant plannedAt {};
--- a/tests/auto/edge/tst_storefaults.cpp
+++ b/tests/auto/edge/tst_storefaults.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace EdgeTest;
 using namespace std::chrono_literals;
 
@@ -12,6 +14,14 @@
     return vm.node.clusterView.routeTable ? vm.node.clusterView.routeTable->configuration.version : 0;
 }
 
+unsigned countCalls(const TestEnvironment& environment)
+{
+    unsigned calls = 0;
+    for (auto it = environment.store.calls.begin(); it != environment.store.calls.end(); ++it)
+        calls += it->second;
+    return calls;
+}
+
 } // namespace
 
 TEST_CASE("Requests are served during a store outage", "[storefaults]")
@@ -252,3 +262,34 @@
     runFor(environment, 3000ms);
     CHECK(upstream.standIn.held.empty() == isLate);
 }
+
+TEST_CASE("Holders are confirmed although the store does not take the first write of them", "[storefaults]")
+{
+    // Guards against a service that serves nobody: the record that confirms the holders was never written
+    // again while no keys moved.
+    const bool isSilent = GENERATE(false, true);
+    INFO((isSilent ? "silent" : "rejecting"));
+    TestEnvironment environment;
+    TestUpstream& upstream = addUpstream(environment, "k-1", "keyed", true);
+    Edge::Service& vm = startReadyVm(environment);
+    REQUIRE(runUntil(environment, [&upstream] { return !upstream.standIn.held.empty(); }));
+    environment.store.faults.outage = !isSilent;
+    environment.store.faults.silent = isSilent;
+    const unsigned callsBefore = countCalls(environment);
+    runFor(environment, 1000ms);
+    const unsigned callsInOutage = countCalls(environment) - callsBefore;
+    environment.store.faults = {};
+    const auto areHoldersConfirmed = [&vm] {
+        const auto found = vm.node.clusterView.assignments.find({ "keyed" });
+        return found != vm.node.clusterView.assignments.end() && !found->second.segments.empty()
+            && std::all_of(found->second.segments.begin(), found->second.segments.end(),
+                [](const Granting::Segment& segment) { return segment.isConfirmed; });
+    };
+    CHECK(runUntil(environment, areHoldersConfirmed, 4000ms));
+    CallerRequest request;
+    request.path = "/key/1";
+    request.key = 100;
+    CHECK(sendRequest(environment, vm, request).status == 200);
+    // The store is not called without a pause meanwhile.
+    CHECK(callsInOutage < 60);
+}
