Send no body after the header of a response to HEAD

Cause: only responses of upstreams to HEAD were handled, where they are delivered.

A connection knows which of its requests expect no body, and drops that of any response to them. Calls with HEAD, as for forwarded requests, no longer wait for a body that does not follow.

--- a/src/libs/edge/callerrequest.h
+++ b/src/libs/edge/callerrequest.h
@@ -13,6 +13,8 @@
     std::uint64_t exchangeId = 0;
     /// Whether the request may run while others of the connection do.
     bool isIdempotent = true;
+    /// Whether the response ends with its header, as that to HEAD does.
+    bool expectsNoBody = false;
     /// Whether the exchange has begun to look for an upstream.
     bool isStarted = false;
     /// Whether the connection may stay open after the response.
--- a/src/libs/edge/callerresponses.cpp
+++ b/src/libs/edge/callerresponses.cpp
@@ -49,6 +49,9 @@
     HttpResponse response)
 {
     request.response.emplace(std::move(response));
+    // Its length stays that of the body which would follow.
+    if (request.expectsNoBody)
+        request.response->body().clear();
     request.responseBytes = request.response->body().capacity();
     node.traffic.responseBytes += request.responseBytes;
     // Exchanges of other callers must not end here: they may be what is being processed.
--- a/src/libs/edge/callers.cpp
+++ b/src/libs/edge/callers.cpp
@@ -130,6 +130,8 @@
     const bool hasHeader = caller->parser && caller->parser->is_header_done();
     HttpResponse response = makeLocalResponse(localResponse,
         hasHeader ? Platform::parseCallerHeaders(caller->parser->get()).requestId : Utils::RequestId {});
+    if (hasHeader && caller->parser->get().method() == http::verb::head)
+        response.body().clear();
     caller->parser.reset();
     if (caller->isPeer)
         setForwardingOutcome(response, ForwardingOutcome::Declined, node.settings.zone);
--- a/src/libs/edge/callpool.cpp
+++ b/src/libs/edge/callpool.cpp
@@ -113,6 +113,7 @@
 {
     call->parser.emplace();
     call->parser->body_limit(call->maxResponseBytes);
+    call->parser->skip(call->request.method() == http::verb::head);
     http::async_read(call->socket, call->buffer, *call->parser,
         [&pool, id, call, interimResponses](const ErrorCode& error, std::size_t) {
             if (!isPending(pool, id))
--- a/src/libs/edge/requestarrival.cpp
+++ b/src/libs/edge/requestarrival.cpp
@@ -109,6 +109,7 @@
     CallerRequest& queued = caller.requests.emplace_back();
     queued.exchangeId = exchange.id;
     queued.keepAlive = keepAlive;
+    queued.expectsNoBody = exchange.request.method() == http::verb::head;
     queued.acceptsInterimResponses = exchange.request.version() >= firstVersionWithInterimResponses;
 }
 
--- a/tests/auto/edge/tst_endlessbytes.cpp
+++ b/tests/auto/edge/tst_endlessbytes.cpp
@@ -48,12 +48,10 @@
     std::chrono::milliseconds elapsed {};
 };
 
-/// Sends requests to \a vm at the same time and samples its memory until all are answered.
-Outcome sendTogether(TestEnvironment& environment, const Edge::Service& vm)
+/// Sends \a count requests to \a vm at the same time, whose responses are counted in \a outcome.
+void startRequests(TestEnvironment& environment, const Edge::Service& vm, std::size_t count, Outcome& outcome)
 {
-    Outcome outcome;
-    const std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
-    for (std::size_t number = 0; number < requestCount; ++number) {
+    for (std::size_t number = 0; number < count; ++number) {
         Platform::HttpRequest request(http::verb::post, "/unsafe/" + std::to_string(number), 11);
         request.set(http::field::host, "a.example");
         request.set("X-Request-Id", "e" + std::to_string(number));
@@ -65,6 +63,14 @@
                 outcome.failures += response.status == 502 ? 1 : 0;
             });
     }
+}
+
+/// Sends requests to \a vm at the same time and samples its memory until all are answered.
+Outcome sendTogether(TestEnvironment& environment, const Edge::Service& vm)
+{
+    Outcome outcome;
+    const std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
+    startRequests(environment, vm, requestCount, outcome);
     runUntil(environment, [&] {
         outcome.maxMemory = std::max(outcome.maxMemory, responseMemoryOf(vm));
         return outcome.responses == requestCount;
@@ -108,6 +114,49 @@
     CHECK(upstream.connections.empty());
 }
 
+TEST_CASE("Other callers are served while many responses have no end", "[endlessbytes]")
+{
+    // Guards against a VM that runs out of memory, with which the requests of all its callers would end.
+    constexpr std::size_t endlessCount = 100;
+    constexpr unsigned smallVmMegabytes = 32;
+    const std::string kilobytes(8192, 'x');
+    const Row row = GENERATE_COPY(values<Row>({
+        { "body without a length", "HTTP/1.1 200 OK\r\n\r\n", kilobytes },
+        { "chunked body", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "2000\r\n" + kilobytes + "\r\n" },
+        { "field of a head", "HTTP/1.1 200 OK\r\nX-Field: ", kilobytes },
+        { "first line", "", kilobytes },
+    }));
+    INFO(row.name);
+    TestEnvironment environment;
+    EndlessUpstream faulty(environment.context, row.head, row.filler);
+    startEndlessUpstream(environment, faulty, "i-1", "plain");
+    addUpstream(environment, "k-1", "keyed", true);
+    Edge::Service& vm = startReadyVm(environment);
+    vm.node.settings.memoryMegabytes = smallVmMegabytes;
+    CallerRequest keyed;
+    keyed.path = "/key/1";
+    keyed.key = 100;
+    REQUIRE(runUntil(environment, [&] { return sendRequest(environment, vm, keyed).status == 200; }));
+    Outcome outcome;
+    startRequests(environment, vm, endlessCount, outcome);
+    std::size_t served = 0;
+    std::size_t maxMemory = 0;
+    constexpr std::size_t ordinaryCount = 10;
+    for (std::size_t number = 0; number < ordinaryCount; ++number) {
+        served += sendRequest(environment, vm, keyed).status == 200 ? 1 : 0;
+        maxMemory = std::max(maxMemory, responseMemoryOf(vm));
+    }
+    runUntil(environment, [&] {
+        maxMemory = std::max(maxMemory, responseMemoryOf(vm));
+        return outcome.responses == endlessCount;
+    });
+    CHECK(served == ordinaryCount);
+    CHECK(outcome.responses == endlessCount);
+    // A quarter of the memory, and what one read may add to each connection before it is counted.
+    CHECK(maxMemory <= (std::size_t(smallVmMegabytes) << 20) / 4 + endlessCount * Edge::maxUnparsedBytes);
+}
+
 TEST_CASE("A holder that answers a grant with bytes without end does not use up the leader's memory",
     "[endlessbytes]")
 {
--- a/tests/auto/edge/tst_path.cpp
+++ b/tests/auto/edge/tst_path.cpp
@@ -1,3 +1,4 @@
+#include "rawcaller.h"
 #include "testenvironment.h"
 
 #include <catch2/catch.hpp>
@@ -121,3 +122,37 @@
     CHECK(metrics.body.find("crocus_configuration_version 1") != std::string::npos);
     CHECK(metrics.body.find("crocus_attempts_total{end=\"answered\"} 1") != std::string::npos);
 }
+
+TEST_CASE("A response of the VM itself to HEAD ends with its header", "[path]")
+{
+    // Guards against bodies that stand where the response to the next request is due.
+    struct Row {
+        const char* name;
+        const char* path;
+        const char* status;
+    };
+    const Row row = GENERATE(values<Row>({
+        { "no route", "/gone/1", "404" },
+        { "no holder", "/key/1", "503" },
+        { "failed upstream", "/unsafe/1", "502" },
+    }));
+    INFO(row.name);
+    TestEnvironment environment;
+    TestUpstream& upstream = addUpstream(environment, "i-1", "plain");
+    Edge::Service& vm = startReadyVm(environment);
+    upstream.standIn.faults->loseAnswer = 1;
+    RawCaller caller(environment.context);
+    std::string head = requestBytes(row.path, "X-Shard-Key: 1\r\n");
+    head.replace(0, 3, "HEAD");
+    connectAndSend(caller, vm, head);
+    REQUIRE(
+        runUntil(environment, [&caller] { return caller.received.find("\r\n\r\n") != std::string::npos; }));
+    upstream.standIn.faults->loseAnswer = 0;
+    sendBytes(caller, requestBytes("/safe/1"));
+    REQUIRE(runUntil(
+        environment, [&caller] { return caller.received.find("i-1 /safe/1") != std::string::npos; }));
+    CHECK(caller.received.rfind(std::string("HTTP/1.1 ") + row.status, 0) == 0);
+    CHECK(caller.received.find("Content-Length: 0") == std::string::npos);
+    const std::size_t end = caller.received.find("\r\n\r\n") + 4;
+    CHECK(caller.received.compare(end, 12, "HTTP/1.1 200") == 0);
+}
--- a/tests/auto/edge/tst_peerforwarding.cpp
+++ b/tests/auto/edge/tst_peerforwarding.cpp
@@ -1,4 +1,5 @@
 #include "rawcaller.h"
+#include "headfirstupstream.h"
 #include "testenvironment.h"
 
 #include <edge/clock.h>
@@ -263,3 +264,21 @@
     const std::string upstream = response.serverStamp.substr(std::string("stamp-").size());
     CHECK(fleet.vm(1).node.leaving.upstreams.byId.contains({ upstream }));
 }
+
+TEST_CASE("A call with HEAD does not wait for a body", "[peerforwarding]")
+{
+    TestEnvironment environment;
+    HeadFirstUpstream peer(environment);
+    peer.script = [](const HeadFirstSessionPtr& session) {
+        writeAll(session, responseHead(session, "Content-Length: 9\r\n"));
+    };
+    startHeadFirstUpstream(peer, "i-1");
+    Platform::HttpRequest request(boost::beast::http::verb::head, "/plain/1", 11);
+    std::optional<Edge::CallResponse> response;
+    Edge::startCall(environment.callPool, endpointOf(peer), std::move(request), 1s,
+        [&response](Edge::CallResponse received) { response = std::move(received); });
+    REQUIRE(runUntil(environment, [&response] { return response.has_value(); }));
+    CHECK(response->outcome == Edge::CallOutcome::Responded);
+    CHECK(response->status == 200);
+    CHECK(response->body.empty());
+}
