Send known crashes to sources only

They are sent with the first update of a source.

Evidence: edge.crashreports, "A VM that asks a peer": failed before, passes now.

--- a/src/libs/edge/relaysubscriber.cpp
+++ b/src/libs/edge/relaysubscriber.cpp
@@ -332,7 +332,9 @@
             connectToNamedLeader(node, *leader);
         return;
     }
-    link->hasDelivered = true;
+    // Most VMs that are asked while sources are looked for are none.
+    if (!std::exchange(link->hasDelivered, true))
+        sendKnownCrashes(node, link);
     node.relay.sourceHops = update.hops;
     node.relay.sourceUpdatedAt = now();
     // A former build only says whether it reads the store.
--- a/src/libs/edge/sourcelinks.cpp
+++ b/src/libs/edge/sourcelinks.cpp
@@ -73,7 +73,6 @@
         node.relay.lastReceivedAt = now();
     sendFrame(node, link, Relay::encodeFrame(subscription));
     link->subscribed = true;
-    sendKnownCrashes(node, link);
     readFrames(node, link);
 }
 
--- a/tests/auto/edge/tst_crashreports.cpp
+++ b/tests/auto/edge/tst_crashreports.cpp
@@ -2,9 +2,11 @@
 
 #include <edge/clock.h>
 #include <edge/crashreports.h>
+#include <edge/sourcelinks.h>
 #include <relay/crashreportframe.h>
 #include <relay/framecodec.h>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/leaf.hpp>
 #include <catch2/catch.hpp>
@@ -156,3 +158,35 @@
     for (const std::unique_ptr<Member>& member : vm.members)
         CHECK(member->crashes == 1);
 }
+
+TEST_CASE("A VM that asks a peer for a source sends it no crash reports", "[crashreports]")
+{
+    // Guards against a region whose VMs each send all crashes that they know with every attempt.
+    constexpr std::size_t knownCrashes = 50;
+    LonelyVm vm(0);
+    for (std::uint64_t number = 1; number <= knownCrashes; ++number) {
+        Balancing::AttemptObservation crash;
+        crash.id = crash.fingerprint = crash.upstream = number;
+        crash.sentAt = crash.endedAt = Edge::now();
+        REQUIRE(Balancing::recordCrash(vm.node.traffic.poisonRequests, crash));
+    }
+    const std::string address = uniqueLoopbackAddress(101);
+    boost::asio::ip::tcp::acceptor acceptor(
+        vm.context, { boost::asio::ip::make_address(address), reportPort });
+    Edge::Internal::connectTo(vm.node, {}, { address, reportPort });
+    boost::asio::ip::tcp::socket peer = acceptor.accept();
+    vm.context.run_for(200ms);
+    peer.non_blocking(true);
+    std::array<char, 65536> buffer {};
+    boost::system::error_code error;
+    std::string received(buffer.data(), peer.read_some(boost::asio::buffer(buffer), error));
+    REQUIRE_FALSE(error);
+    const bool isSubscription = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<bool> {
+            BOOST_LEAF_AUTO(frame, Relay::extractFrame(received));
+            return frame && std::holds_alternative<Relay::Subscription>(*frame);
+        },
+        [] { return false; });
+    CHECK(isSubscription);
+    CHECK(received.empty());
+}
