--- a/tests/auto/edge/tst_crashreports.cpp
+++ b/tests/auto/edge/tst_crashreports.cpp
@@ -38,8 +38,8 @@
 };
 
 /// A VM without a relay source that knows \c members.
-struct LonelyVm {
-    explicit LonelyVm(std::size_t memberCount)
+struct VmWithoutSource {
+    explicit VmWithoutSource(std::size_t memberCount)
         : node(context, settings(), 1)
     {
         for (std::size_t number = 0; number < memberCount; ++number) {
@@ -63,7 +63,7 @@
     std::vector<std::unique_ptr<Member>> members;
 };
 
-void queueReports(LonelyVm& vm, Kind kind, std::size_t count)
+void queueReports(VmWithoutSource& vm, Kind kind, std::size_t count)
 {
     constexpr unsigned repeats = 3;
     static std::uint64_t lastId = 0;
@@ -102,14 +102,14 @@
 }
 
 /// Flushes the reports of \a vm and counts what the members receive.
-void flush(LonelyVm& vm)
+void flush(VmWithoutSource& vm)
 {
     Edge::flushCrashReports(vm.node);
     for (const std::unique_ptr<Member>& member : vm.members)
         countReceived(*member);
 }
 
-std::size_t receivedBytes(const LonelyVm& vm)
+std::size_t receivedBytes(const VmWithoutSource& vm)
 {
     std::size_t bytes = 0;
     for (const std::unique_ptr<Member>& member : vm.members)
@@ -128,7 +128,7 @@
     // A VM may spend 8 KB a second on control; a burst of three seconds may come first.
     constexpr double bytesPerSecond = 8000;
     constexpr double maxBurst = 3 * bytesPerSecond;
-    LonelyVm vm(memberCount);
+    VmWithoutSource vm(memberCount);
     const Utils::Instant start = Edge::now();
     while (Edge::now() - start < 3s) {
         queueReports(vm, Kind::Response, reportsPerFlush);
@@ -152,7 +152,7 @@
 
 TEST_CASE("A crash report reaches all VMs of a small fleet at once", "[crashreports]")
 {
-    LonelyVm vm(11);
+    VmWithoutSource vm(11);
     queueReports(vm, Kind::Crash, 1);
     flush(vm);
     for (const std::unique_ptr<Member>& member : vm.members)
@@ -163,7 +163,7 @@
 {
     // Guards against a region whose VMs each send all crashes that they know with every attempt.
     constexpr std::size_t knownCrashes = 50;
-    LonelyVm vm(0);
+    VmWithoutSource vm(0);
     for (std::uint64_t number = 1; number <= knownCrashes; ++number) {
         Balancing::AttemptObservation crash;
         crash.id = crash.fingerprint = crash.upstream = number;
