--- a/tests/auto/edge/tst_foreignentries.cpp
+++ b/tests/auto/edge/tst_foreignentries.cpp
@@ -52,6 +52,14 @@
     return entry && entry->record.endpoint.port == StandInSupport::portOf(upstream.httpServer);
 }
 
+/// Starts one VM and waits until it leads: either of two VMs that start together may.
+Edge::Service& startLeader(TestEnvironment& environment)
+{
+    Edge::Service& vm = startReadyVm(environment);
+    REQUIRE(runUntil(environment, [&vm] { return isLeading(vm); }));
+    return vm;
+}
+
 /// Which VM grants the keys when the upstream leaves whose address the foreign entry has.
 enum class Granter {
     ReaderOfEntry,
@@ -104,8 +112,8 @@
     TestUpstream& leaving = addUpstream(environment, "k-1", "keyed", true);
     for (const char* id : { "k-2", "k-3" })
         addUpstream(environment, id, "keyed", true);
-    Edge::Service& first = startReadyVm(environment);
-    REQUIRE(runUntil(environment, [&first] { return areKeysConfirmed(first) && isLeading(first); }));
+    Edge::Service& first = startLeader(environment);
+    REQUIRE(runUntil(environment, [&first] { return areKeysConfirmed(first); }));
     Edge::Service& granting = leadAfterForeignEntry(environment, leaving, row.granter);
     CHECK_FALSE(granting.node.clusterView.directory.entries.at({ "k-1" }).isTerminated);
     CHECK(usesUpstream(granting, leaving));
@@ -122,7 +130,7 @@
     TestEnvironment environment;
     TestUpstream& hidden = addUpstream(environment, "i-1", "plain");
     addUpstream(environment, "i-2", "plain");
-    Edge::Service& first = startReadyVm(environment);
+    Edge::Service& first = startLeader(environment);
     REQUIRE(usesUpstream(first, hidden));
     SECTION("at a VM that runs, before and after the next entry of the upstream")
     {
@@ -160,7 +168,7 @@
     TestEnvironment environment;
     TestUpstream& early = addUpstream(environment, "l-1", "later");
     TestUpstream& gone = addUpstream(environment, "l-2", "later");
-    Edge::Service& first = startReadyVm(environment);
+    Edge::Service& first = startLeader(environment);
     Edge::Service& second = startVm(environment, false, true);
     REQUIRE(runUntil(environment, [&second] { return second.node.relay.isSubscribed; }));
     CHECK_FALSE(usesUpstream(first, early));
--- a/tests/auto/edge/tst_leavingupstreams.cpp
+++ b/tests/auto/edge/tst_leavingupstreams.cpp
@@ -1,5 +1,6 @@
 #include "testenvironment.h"
 
+#include <edge/clock.h>
 #include <edge/leaving.h>
 
 #include <catch2/catch.hpp>
@@ -137,6 +138,9 @@
     TestEnvironment environment;
     addUpstream(environment, "i-1", "plain");
     Edge::Service& leader = startReadyVm(environment);
+    // Either of two VMs that start together may lead.
+    REQUIRE(runUntil(environment,
+        [&leader] { return Granting::holdsLeaderLease(leader.node.leader.leadership, Edge::now()); }));
     Edge::Service& subscriber = startVm(environment);
     REQUIRE(runUntil(
         environment, [&] { return subscriber.node.relay.isSubscribed; }, 4000ms));
